Send unsafe requests on no connection idle for longer than has proved sound

Endpoints drop idle connections long before the idle limit of the settings, some without a sign. A request written to one ends as a reset; a keyed one is sent again, an unsafe one is lost. Upstream now learns from such breaks for how long an idle connection can be trusted with an unsafe request.

--- a/internal/sidecar/front.go
+++ b/internal/sidecar/front.go
@@ -217,7 +217,10 @@
 		io.WriteString(sum, cookie.Value)
 		k.event.Key = sum.Sum64()
 	}
-	k.out = outgoing{start: fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\n", method, uri, h.Get("Host")), header: endToEnd(h)}
+	k.out = outgoing{
+		start:  fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\n", method, uri, h.Get("Host")),
+		header: endToEnd(h), once: class.Effect == whinknot.Unsafe,
+	}
 	h.Del("Host")
 	return k, 0, ""
 }
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -26,6 +26,9 @@
 	gracePart   = 0.6 // an attempt whose first byte is not out after this share of the drain grace stays in
 	defaultIdle = 5 * time.Second
 	defaultDial = 250 * time.Millisecond
+	leastTrust  = 50 * time.Millisecond // nothing drops a connection for having been idle for less
+	dropTime    = 25 * time.Millisecond // a dropped connection breaks under a request this soon; later, its server failed
+	regainTrust = 32                    // reuses in a row, each after longer than is trusted, that double what is trusted
 )
 
 // outgoing is what every attempt of a request sends, but for the time left.
@@ -33,6 +36,7 @@
 	start  string // request line and Host
 	header http.Header
 	body   []byte
+	once   bool // it must never run twice
 }
 
 // answer is a whole answer for a caller.
@@ -54,9 +58,11 @@
 // conn is a connection to an endpoint; it carries one request at a time.
 type conn struct {
 	net.Conn
-	reader *bufio.Reader
-	home   *endpoint
-	since  time.Time // idle since then
+	reader  *bufio.Reader
+	home    *endpoint
+	since   time.Time     // idle since then
+	idle    time.Duration // before it was taken; 0 = it is new
+	dropped bool          // it broke at once under a request, before any answer
 }
 
 // upstream owns all connections to endpoints.
@@ -67,8 +73,10 @@
 
 	mu        sync.Mutex
 	endpoints map[uint32]*endpoint
-	open      int  // connections, and dials under way
-	sweeping  bool // a sweep of idle connections is due
+	open      int           // connections, and dials under way
+	sweeping  bool          // a sweep of idle connections is due
+	trust     time.Duration // a request that must not run twice goes on no connection idle for longer
+	sound     int           // reuses in a row of connections idle for longer than that, by other requests
 }
 
 // newUpstream makes a pool of at most so many connections.
@@ -83,6 +91,7 @@
 	if l.ConnIdle > 0 {
 		u.idleLimit = millis(idlePart * l.ConnIdle)
 	}
+	u.trust = u.idleLimit
 	return u
 }
 
@@ -166,7 +175,7 @@
 // do carries one attempt out and tells how it ended, as the module names it.
 func (u *upstream) do(a *attempt, e *endpoint, out *outgoing, until time.Time) (whinknot.Outcome, *answer) {
 	defer a.cancel()
-	c, err := u.connect(a.ctx, e, until)
+	c, err := u.connect(a.ctx, e, until, out.once)
 	if err != nil {
 		if a.ctx.Err() != nil {
 			return whinknot.Cancelled, nil
@@ -175,6 +184,7 @@
 	}
 	stop := context.AfterFunc(a.ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
 	outcome, got, keep := exchange(a, c, out, until)
+	u.reused(c.idle, c.dropped)
 	if !stop() || !keep {
 		u.discard(c)
 	} else {
@@ -202,9 +212,16 @@
 	if !a.begin.IsZero() && time.Now().After(a.begin) {
 		return whinknot.ConnectFailed, nil, true // its endpoint may have been told to drain meanwhile
 	}
+	written := time.Now()
 	if n, err := c.Write(text.Bytes()); n < text.Len() {
+		c.dropped = brokenOff(a, err, whinknot.Reset) == whinknot.Reset
 		return brokenOff(a, err, whinknot.ConnectFailed), nil, false
 	}
+	if _, err := c.reader.Peek(1); err != nil {
+		outcome := brokenOff(a, err, whinknot.Reset)
+		c.dropped = outcome == whinknot.Reset && time.Since(written) < dropTime
+		return outcome, nil, false
+	}
 	// What cannot be read whole may have run, whatever its head says.
 	status, m, body, err := readAnswer(c.reader)
 	if err != nil {
@@ -238,9 +255,9 @@
 var errNoRoom = errors.New("no descriptor left for a connection")
 
 // connect takes an idle connection that is still open, or dials.
-func (u *upstream) connect(ctx context.Context, e *endpoint, until time.Time) (*conn, error) {
+func (u *upstream) connect(ctx context.Context, e *endpoint, until time.Time, once bool) (*conn, error) {
 	for {
-		c := u.take(e)
+		c := u.take(e, once)
 		if c == nil {
 			break
 		}
@@ -263,8 +280,9 @@
 	return &conn{Conn: raw, reader: bufio.NewReader(raw), home: e}, nil
 }
 
-// take pops the connection used last, so that the others can grow old.
-func (u *upstream) take(e *endpoint) *conn {
+// take pops the connection used last, so that the others can grow old. One that was idle for longer than a request
+// that must not run twice can trust stays for the others, which may be sent again.
+func (u *upstream) take(e *endpoint, once bool) *conn {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	n := len(e.idle) - 1
@@ -272,15 +290,34 @@
 		return nil
 	}
 	c := e.idle[n]
-	e.idle[n], e.idle = nil, e.idle[:n]
-	if time.Since(c.since) > u.idleLimit { // so are all the others: they are older
-		e.idle = append(e.idle, c)
+	c.idle = time.Since(c.since)
+	if c.idle > u.idleLimit { // so are all the others: they are older
 		u.closeIdle(e)
 		return nil
 	}
+	if once && c.idle > u.trust {
+		return nil
+	}
+	e.idle[n], e.idle = nil, e.idle[:n]
 	return c
 }
 
+// reused learns from a connection that was idle. Endpoints, or what lies on the way, may drop idle connections long
+// before the limit in the settings and without a sign: a request written to one ends as a reset, and one that must
+// not run twice has failed for good. What is trusted goes down at once, and up as other requests fare well.
+func (u *upstream) reused(idle time.Duration, dropped bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	switch {
+	case dropped && idle > leastTrust:
+		u.trust, u.sound = max(leastTrust, min(u.trust, idle/2)), 0
+	case !dropped && idle > u.trust:
+		if u.sound++; u.sound == regainTrust {
+			u.trust, u.sound = min(2*u.trust, u.idleLimit), 0
+		}
+	}
+}
+
 // makeRoom counts one more connection; at the limit, the one that was idle longest gives way.
 func (u *upstream) makeRoom() bool {
 	u.mu.Lock()
--- a/internal/sidecar/upstream_test.go
+++ b/internal/sidecar/upstream_test.go
@@ -196,12 +196,82 @@
 	}
 }
 
+// An endpoint may drop connections that were idle for a while without a sign. A request that must never run twice is
+// lost with one, so it must go on a new connection once that has been seen, while others may try the old ones.
+func TestDroppedConnectionsAreNotTrusted(t *testing.T) {
+	requests := make(chan int, 10)
+	ln := script(t, func(n int, c net.Conn, req *http.Request) bool {
+		if requests <- n; req.Header.Get("X-Request-Id") == "drop" {
+			return false
+		}
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		return true
+	})
+	u := pool(ln.Addr().String(), 4)
+	on := func(id string, once bool, idle time.Duration) int {
+		t.Helper()
+		if e := u.find(1); len(e.idle) > 0 {
+			e.idle[len(e.idle)-1].since = time.Now().Add(-idle)
+		}
+		out := get()
+		out.header.Set("X-Request-Id", id)
+		out.once = once
+		if got, _ := u.do(newAttempt(time.Time{}), u.find(1), out, time.Now().Add(long)); (got == whinknot.OK) == (id == "drop") {
+			t.Fatalf("outcome %v", got)
+		}
+		return <-requests
+	}
+	on("1", true, 0)
+	if n := on("2", true, time.Second); n != 0 {
+		t.Errorf("on connection %d, want the idle one: none was dropped yet", n)
+	}
+	on("drop", false, time.Second) // on 0
+	on("3", false, 0)              // on 1
+	if n := on("4", true, time.Second); n != 2 {
+		t.Errorf("on connection %d, want a new one", n)
+	}
+	if n := on("5", true, 0); n != 2 {
+		t.Errorf("on connection %d, want the one that was just used", n)
+	}
+	if n := on("6", false, time.Second); n != 2 {
+		t.Errorf("on connection %d, want the idle one: this one may be sent again", n)
+	}
+}
+
+// What is trusted follows what is seen, and no break that idleness cannot have caused.
+func TestTrustInIdleConnections(t *testing.T) {
+	u := pool("127.0.0.1:1", 4)
+	u.reused(0, true)
+	u.reused(leastTrust, true)
+	if u.trust != u.idleLimit {
+		t.Errorf("trust %v after new and busy connections broke", u.trust)
+	}
+	u.reused(800*time.Millisecond, true)
+	u.reused(time.Second, true)
+	if u.trust != 400*time.Millisecond {
+		t.Errorf("trust %v, want half the shortest time", u.trust)
+	}
+	for range regainTrust - 1 {
+		u.reused(time.Second, false)
+		u.reused(100*time.Millisecond, false) // tells nothing of longer times
+	}
+	if u.trust != 400*time.Millisecond {
+		t.Errorf("trust %v, too soon", u.trust)
+	}
+	if u.reused(time.Second, false); u.trust != 800*time.Millisecond {
+		t.Errorf("trust %v after a run of sound connections", u.trust)
+	}
+	if u.reused(leastTrust+1, true); u.trust != leastTrust {
+		t.Errorf("trust %v, want the least", u.trust)
+	}
+}
+
 // Once an attempt is called off its request has a final answer, and nothing may go out for it.
 func TestCalledOffBeforeWriting(t *testing.T) {
 	requests := make(chan struct{}, 1)
 	ln := script(t, func(int, net.Conn, *http.Request) bool { requests <- struct{}{}; return false })
 	u := pool(ln.Addr().String(), 4)
-	c, err := u.connect(t.Context(), u.find(1), time.Now().Add(long))
+	c, err := u.connect(t.Context(), u.find(1), time.Now().Add(long), false)
 	if err != nil {
 		t.Fatal(err)
 	}
