Hold the last byte of an unsafe request back until a broken connection would show

A request has run only once its last byte has arrived. Endpoints reset a part of the connections at the first byte; an unsafe request was written whole in one go and so was lost with them. Now its last byte follows 1 ms later; an idle connection that breaks before gives way to the next one, a new one is a failed connect. No request is sent twice: none of these was whole.

Ruled out as too slow: 1 ms on calls of 340 ms.

--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -28,6 +28,7 @@
 	defaultDial = 250 * time.Millisecond
 	leastTrust  = 50 * time.Millisecond // nothing drops a connection for having been idle for less
 	dropTime    = 25 * time.Millisecond // a dropped connection breaks under a request this soon; later, its server failed
+	holdTime    = time.Millisecond      // for a broken connection to show: a few round trips within a data centre
 	regainTrust = 32                    // reuses in a row, each after longer than is trusted, that double what is trusted
 )
 
@@ -69,6 +70,7 @@
 type upstream struct {
 	dialTimeout, idleLimit time.Duration
 	most                   int           // connections at once
+	hold                   time.Duration // see holdTime
 	grace                  time.Duration // from the decision on an attempt to its first byte; 0 = any
 
 	mu        sync.Mutex
@@ -83,7 +85,7 @@
 func newUpstream(l whinknot.Limits, drainGrace float64, most int) *upstream {
 	u := &upstream{
 		dialTimeout: defaultDial, idleLimit: defaultIdle, most: most, grace: millis(gracePart * drainGrace),
-		endpoints: map[uint32]*endpoint{},
+		hold: holdTime, endpoints: map[uint32]*endpoint{},
 	}
 	if l.ConnectTimeout > 0 {
 		u.dialTimeout = millis(l.ConnectTimeout)
@@ -175,26 +177,31 @@
 // do carries one attempt out and tells how it ended, as the module names it.
 func (u *upstream) do(a *attempt, e *endpoint, out *outgoing, until time.Time) (whinknot.Outcome, *answer) {
 	defer a.cancel()
-	c, err := u.connect(a.ctx, e, until, out.once)
-	if err != nil {
-		if a.ctx.Err() != nil {
-			return whinknot.Cancelled, nil
+	for {
+		c, err := u.connect(a.ctx, e, until, out.once)
+		if err != nil {
+			if a.ctx.Err() != nil {
+				return whinknot.Cancelled, nil
+			}
+			return whinknot.ConnectFailed, nil
+		}
+		stop := context.AfterFunc(a.ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
+		outcome, got, keep := exchange(a, c, out, until, u.hold)
+		u.reused(c.idle, c.dropped)
+		if !stop() || !keep {
+			u.discard(c)
+		} else {
+			u.put(c)
+		}
+		// An idle connection that broke before the request was whole has carried no attempt: on to the next.
+		if outcome != whinknot.ConnectFailed || !c.dropped || c.idle == 0 {
+			return outcome, got
 		}
-		return whinknot.ConnectFailed, nil
-	}
-	stop := context.AfterFunc(a.ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
-	outcome, got, keep := exchange(a, c, out, until)
-	u.reused(c.idle, c.dropped)
-	if !stop() || !keep {
-		u.discard(c)
-	} else {
-		u.put(c)
 	}
-	return outcome, got
 }
 
 // exchange writes the request, waits for the answer and tells whether the connection can be used again.
-func exchange(a *attempt, c *conn, out *outgoing, until time.Time) (whinknot.Outcome, *answer, bool) {
+func exchange(a *attempt, c *conn, out *outgoing, until time.Time, hold time.Duration) (whinknot.Outcome, *answer, bool) {
 	c.SetDeadline(until)
 	var text bytes.Buffer
 	text.Grow(len(out.start) + len(out.body) + 512)
@@ -212,11 +219,24 @@
 	if !a.begin.IsZero() && time.Now().After(a.begin) {
 		return whinknot.ConnectFailed, nil, true // its endpoint may have been told to drain meanwhile
 	}
-	written := time.Now()
-	if n, err := c.Write(text.Bytes()); n < text.Len() {
+	whole := text.Bytes()
+	if out.once { // nothing has run before the last byte is there: it waits until a broken connection would show
+		last := len(whole) - 1
+		if err := write(c, whole[:last], hold); err != nil {
+			c.dropped = brokenOff(a, err, whinknot.Reset) == whinknot.Reset
+			return brokenOff(a, err, whinknot.ConnectFailed), nil, false
+		}
+		whole = whole[last:]
+		c.SetDeadline(until)
+		if !a.claim() {
+			return whinknot.Cancelled, nil, false
+		}
+	}
+	if err := write(c, whole, 0); err != nil {
 		c.dropped = brokenOff(a, err, whinknot.Reset) == whinknot.Reset
 		return brokenOff(a, err, whinknot.ConnectFailed), nil, false
 	}
+	written := time.Now()
 	if _, err := c.reader.Peek(1); err != nil {
 		outcome := brokenOff(a, err, whinknot.Reset)
 		c.dropped = outcome == whinknot.Reset && time.Since(written) < dropTime
@@ -240,6 +260,18 @@
 	return whinknot.Error, nil, keep
 }
 
+// write writes all of the text, and then looks for so long whether the connection breaks.
+func write(c *conn, text []byte, look time.Duration) error {
+	if n, err := c.Write(text); n < len(text) || look <= 0 {
+		return err
+	}
+	c.SetReadDeadline(time.Now().Add(look))
+	if _, err := c.reader.Peek(1); err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		return err
+	}
+	return nil
+}
+
 // brokenOff names the outcome of an exchange that ended with an error: called off, out of time, or broken.
 // A request that was not written whole never ran, whatever stopped it.
 func brokenOff(a *attempt, err error, broken whinknot.Outcome) whinknot.Outcome {
--- a/internal/sidecar/upstream_test.go
+++ b/internal/sidecar/upstream_test.go
@@ -238,6 +238,56 @@
 	}
 }
 
+// A connection that breaks before the last byte of a request has carried none: one that must never run twice is not
+// lost with it. An idle connection gives way to the next, and a new one proves that nothing ran.
+func TestBreakBeforeTheLastByteLosesNothing(t *testing.T) {
+	served := make(chan string, 10)
+	ln := listen(t)
+	go func() {
+		for n := 0; ; n++ {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			if n == 2 { // breaks under its first bytes
+				c.Read(make([]byte, 1))
+				c.(*net.TCPConn).SetLinger(0)
+				c.Close()
+				continue
+			}
+			io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n") // ends the look for a break
+			req, err := http.ReadRequest(bufio.NewReader(c))
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			served <- fmt.Sprint(n, req.Header.Get("X-Request-Id"))
+			io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+			if n == 0 {
+				c.Read(make([]byte, 1))
+				c.(*net.TCPConn).SetLinger(0)
+			}
+			c.Close()
+		}
+	}()
+	u := pool(ln.Addr().String(), 4)
+	u.hold = long
+	for i, want := range []whinknot.Outcome{whinknot.OK, whinknot.OK, whinknot.ConnectFailed} {
+		out := get()
+		out.header.Set("X-Request-Id", fmt.Sprint("-", i))
+		out.once = true
+		if i == 2 {
+			u.closeAll(1)
+		}
+		if got, _ := u.do(newAttempt(time.Time{}), u.find(1), out, time.Now().Add(2*long)); got != want {
+			t.Errorf("request %d: outcome %v, want %v", i, got, want)
+		}
+	}
+	if a, b := <-served, <-served; a != "0-0" || b != "1-1" || len(served) != 0 {
+		t.Errorf("%q, %q and %d more were served", a, b, len(served))
+	}
+}
+
 // What is trusted follows what is seen, and no break that idleness cannot have caused.
 func TestTrustInIdleConnections(t *testing.T) {
 	u := pool("127.0.0.1:1", 4)
@@ -277,7 +327,7 @@
 	}
 	a := newAttempt(time.Time{})
 	a.callOff()
-	if got, _, _ := exchange(a, c, get(), time.Now().Add(long)); got != whinknot.Cancelled {
+	if got, _, _ := exchange(a, c, get(), time.Now().Add(long), 0); got != whinknot.Cancelled {
 		t.Errorf("outcome %v", got)
 	}
 	c.Close()
