Take servers that have gone silent out of the room, with the calls stuck there

The front bounds the calls out at once. Calls at a server that says nothing stay out until they time out, 6 s here, and filled that room beside idle servers. A server that is overdue no longer counts, nor do its calls, until it is heard of; time-outs and calls called off are no sign of life.

Ruled out: descriptors, memory, the release.

--- a/balancer.go
+++ b/balancer.go
@@ -75,6 +75,7 @@
 	cold              bool
 	measured          bool // has a load of its own; others take the mean
 	cut               bool // at the floor since a run of failures
+	silent            bool // it said nothing for too long, with calls out: they leave the room to others
 	out               int  // attempts sent and not answered
 	load, maxLoad     float64
 	credit, accruedAt float64
@@ -91,6 +92,9 @@
 
 func (s *server) ready() bool { return s.listed && s.State == Ready }
 
+// serves tells whether the room is for this server too.
+func (s *server) serves() bool { return s.ready() && !s.cut && !s.silent }
+
 // attempt is one send of a request.
 type attempt struct {
 	server *server
@@ -400,6 +404,9 @@
 				b.probe(q) // held back before: old figures must not let it go blind
 			}
 			crowded := b.set.Stage == 0 && float64(b.out) >= b.room
+			if crowded && b.findSilent() {
+				crowded = float64(b.out) >= b.room
+			}
 			if crowded || b.now < q.backAt || b.asked > 0 && b.now < q.readyAt {
 				break
 			}
@@ -456,7 +463,7 @@
 		}
 		most := b.accrue(s)
 		left := s.credit - float64(s.out)
-		if s.cold && s.credit < 1 || s.cut && left < 1 {
+		if s.cold && s.credit < 1 || s.cut && left < 1 || s.silent && s.out > 0 {
 			continue
 		}
 		rank := left/most - paceWeight*s.pace/max(b.typical, 1e-9) // of like servers the quicker one
@@ -464,8 +471,8 @@
 			rank += 50 // a trial call: its floor is small, and without one it never returns
 		} else if b.told(s) {
 			rank += 1000 - 10*(s.held+s.run) // each failure in a run weighs like a call held
-		} else if s.out > 0 && b.now-s.heard > b.silence {
-			rank -= 40 // calls out and no answer for too long: over threshold already
+		} else if b.overdue(s) {
+			rank -= 40
 		} else if s.home > 0 && b.atHome(s) {
 			rank += 40
 		} else if own := int(s.Zone) == b.set.Zone; own && b.linked(s) {
@@ -575,13 +582,46 @@
 	}
 }
 
+// overdue tells whether a server has calls out and gave no answer for too long: it is over threshold already.
+func (b *Balancer) overdue(s *server) bool { return s.out > 0 && b.now-s.heard > b.silence }
+
+// findSilent takes the servers that are overdue out of the room, and tells whether there were any: their
+// calls may stay out till they time out, and would leave no room beside idle servers. Till one is heard of
+// again it gets one call at a time. Where none else serves the cause is shared, and all stay in.
+func (b *Balancer) findSilent() bool {
+	found, serving := false, 0
+	for _, s := range b.live {
+		if s.serves() && !b.overdue(s) {
+			serving++
+		}
+	}
+	for _, s := range b.live {
+		if serving > 0 && s.serves() && b.overdue(s) {
+			s.silent, found = true, true
+		}
+	}
+	if found {
+		b.recount()
+	}
+	return found
+}
+
+// heard notes that a server gave a sign of life; what this copy did or ran out of itself is none.
+func (b *Balancer) heard(s *server) {
+	s.heard = b.now
+	if s.silent {
+		s.silent = false
+		b.recount()
+	}
+}
+
 // count notes that a call went out to a server or came back.
 func (b *Balancer) count(s *server, calls int) {
-	if calls < 0 || s.out == 0 {
+	if calls > 0 && s.out == 0 {
 		s.heard = b.now
 	}
 	s.out += calls
-	if !s.cut && s.ready() {
+	if s.serves() {
 		b.out += calls
 	}
 }
@@ -702,6 +742,10 @@
 	a := &q.attempts[ev.Attempt]
 	a.open = false
 	b.count(a.server, -1)
+	switch ev.Outcome {
+	case OK, Error, Full, Reset:
+		b.heard(a.server)
+	}
 	b.closeIdle(a.server)
 	q.open--
 	if a.silent && ev.Outcome == Cancelled {
@@ -776,7 +820,6 @@
 	s.run++
 	more := float64(b.cuts+1) <= max(1, sharedPart*float64(len(b.live)))
 	if s.run > runLimit && !s.cut && s.ready() && more {
-		b.out -= s.out
 		s.cut, s.measured = true, true
 		s.load = b.floor()
 		b.recount()
@@ -907,10 +950,8 @@
 
 // unmeasure lets a server take the others' mean again, as after a good run of trials.
 func (b *Balancer) unmeasure(s *server) {
-	if s.cut && s.ready() {
-		b.out += s.out
-	}
-	s.measured, s.cut, s.run, s.goods, s.count, s.good = false, false, 0, 0, 0, 0
+	s.measured, s.cut, s.silent = false, false, false
+	s.run, s.goods, s.count, s.good = 0, 0, 0, 0
 	s.since, s.reviseAt = b.now, b.now+revisePeriod
 	b.recount()
 }
@@ -923,6 +964,7 @@
 // their share jams the rest till the next revision.
 func (b *Balancer) recount() {
 	sum, n, cuts, serving := 0.0, 0, 0, 0.0
+	b.out = 0
 	for _, s := range b.live {
 		if s.cut {
 			cuts++
@@ -930,9 +972,13 @@
 			sum += s.load
 			n++
 		}
-		if s.ready() && !s.cut && s.cold {
+		if !s.serves() {
+			continue
+		}
+		b.out += s.out
+		if s.cold {
 			serving += b.set.Safety.ColdFrom
-		} else if s.ready() && !s.cut {
+		} else {
 			serving++
 		}
 	}
@@ -976,12 +1022,6 @@
 		b.closeIdle(s)
 		return !s.ready()
 	})
-	b.out = 0
-	for _, s := range b.live {
-		if !s.cut {
-			b.out += s.out
-		}
-	}
 	// Servers come and go for as long as a copy runs: what is gone for good must not be kept.
 	maps.DeleteFunc(b.byID, func(_ uint32, s *server) bool { return !s.listed && s.out == 0 && !s.asked })
 	b.recount()
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -322,6 +322,61 @@
 	}
 }
 
+// Calls at a server that has gone silent stay out till they time out. They must not fill the room, or calls wait
+// beside idle servers; when it is heard of again it counts as before.
+func TestSilentServerLeavesTheRoom(t *testing.T) {
+	set := plain()
+	for i := range set.Classes {
+		set.Classes[i].Aim, set.Classes[i].GiveUp = 1000, 60000
+	}
+	h := start(t, set, ids(1)...)
+	h.b.room, h.b.roomAt, h.b.serving = 10, math.Inf(1), 2 // for the server that comes back below, too
+	var stuck []Action
+	for id := uint32(1); id <= 20; id++ {
+		h.b.sends.add(h.now, 10) // the queue is long enough
+		stuck = append(stuck, h.do(Event{Kind: EvRequest, Request: id, Class: 2, Due: h.now + 60000})...)
+	}
+	h.b.serving = 2
+	h.do(Event{Kind: EvList, List: ListFull, Servers: ids(2)})
+	silent, other := h.b.live[0], h.b.live[1]
+	h.now += h.b.silence
+	if h.do(Event{Kind: EvTimer, Token: h.b.timer}); len(stuck) != 10 || other.out != 0 {
+		t.Fatalf("%d calls stuck, %d sent to the other server while the silence is short", len(stuck), other.out)
+	}
+	h.now++
+	if h.do(Event{Kind: EvTimer, Token: h.b.timer}); other.out != 5 || silent.out != 10 || h.b.room != 5 {
+		t.Errorf("%d calls out at the other server in a room of %v, %d at the silent one; want 5 in 5, and 10",
+			other.out, h.b.room, silent.out)
+	}
+	h.do(Event{Kind: EvOutcome, Request: stuck[0].Request, Server: silent.Server, Outcome: Timeout, Took: 1000})
+	if !silent.silent || h.b.room != 5 {
+		t.Error("a time-out counts as a sign of life")
+	}
+	h.do(Event{Kind: EvOutcome, Request: stuck[1].Request, Server: silent.Server, Took: 1000, Done: true})
+	if silent.silent || h.b.room != 10 || h.b.out != silent.out+other.out {
+		t.Errorf("heard of again: silent %v, room %v, %d out", silent.silent, h.b.room, h.b.out)
+	}
+}
+
+// Where no server says anything the cause is shared: the room must hold, or each second of it would fill them more.
+func TestSharedSilenceKeepsTheRoom(t *testing.T) {
+	set := plain()
+	for i := range set.Classes {
+		set.Classes[i].Aim, set.Classes[i].GiveUp = 1000, 60000
+	}
+	h := start(t, set, ids(2)...)
+	h.b.room, h.b.roomAt = 10, math.Inf(1)
+	for id := uint32(1); id <= 20; id++ {
+		h.b.sends.add(h.now, 10)
+		h.do(Event{Kind: EvRequest, Request: id, Class: 2, Due: h.now + 60000})
+	}
+	h.now += 10 * h.b.silence
+	h.do(Event{Kind: EvTimer, Token: h.b.timer})
+	if out := h.b.live[0].out + h.b.live[1].out; out != 10 || h.b.room != 10 {
+		t.Errorf("%d calls out in a room of %v, want 10 in 10", out, h.b.room)
+	}
+}
+
 // A cut server whose connections have gone idle must still get its trial calls while others have room, or it never
 // returns; a call that may not run twice is not risked on it.
 func TestCutServerGetsTrials(t *testing.T) {
