Let a sidecar that is alone in its tier serve on until shortly before its end

After SIGTERM callers' connections were closed 1.3 s before the last moment, for slow calls to end. Callers of a lone sidecar have nowhere else to go: all that came in between failed. Alone, it closes them 0.5 s before.

Ruled out: a slow start (0.1 s), new connections lost at the closed listener (none came).

--- a/internal/sidecar/front.go
+++ b/internal/sidecar/front.go
@@ -22,6 +22,7 @@
 
 	acceptTime = 600 * time.Millisecond  // new connections come for up to 0.4 s after SIGTERM
 	finishTime = 1300 * time.Millisecond // for what was taken, from the end of taking until the rest is given up
+	aloneTime  = 500 * time.Millisecond  // instead, where no other sidecar could take what comes in between
 	lastWrites = 150 * time.Millisecond  // for the answers that are given then
 )
 
@@ -225,6 +226,16 @@
 	return k, 0, ""
 }
 
+// finishing is how long before the end connections are closed. Callers then go to the other sidecars of the tier, so
+// that the slow calls have time to end. A sidecar that is alone goes on: what it does not take is lost for sure until
+// it has started again, and most calls that it takes are still answered.
+func (f *front) finishing() time.Duration {
+	if f.set.Copies > 1 {
+		return finishTime
+	}
+	return aloneTime
+}
+
 // drain ends the front in order: it goes on taking requests while new connections may come, and on those that it has
 // for as long as what comes there can be finished; then it finishes what was taken. What is left at last is given up.
 func (f *front) drain(ln net.Listener, last time.Duration) {
@@ -232,7 +243,7 @@
 	f.draining.Store(true)
 	time.Sleep(f.accept)
 	ln.Close()
-	time.Sleep(time.Until(begun.Add(last - finishTime)))
+	time.Sleep(time.Until(begun.Add(last - f.finishing())))
 	f.ending.Store(true)
 	timer := time.AfterFunc(time.Until(begun.Add(last)), func() { f.loop.post(f.loop.giveUpAll) })
 	defer timer.Stop()
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -368,6 +368,18 @@
 	<-ended
 }
 
+// What comes while connections are closed goes to another sidecar, or to nobody: one that is alone goes on for longer.
+func TestALoneSidecarServesOn(t *testing.T) {
+	closing := func(copies int) time.Duration {
+		s := &Sidecar{cfg: Config{}}
+		s.cfg.Site.Settings = whinknot.Settings{Copies: copies, Classes: []whinknot.Class{{GiveUp: 6000}}}
+		return s.last() - newFront(nil, &s.cfg.Site.Settings, 1).finishing()
+	}
+	if alone, untold, one := closing(1), closing(0), closing(2); alone != 2850*time.Millisecond || untold != alone || one >= alone {
+		t.Errorf("connections close %v after SIGTERM alone, %v untold and %v as one of two", alone, untold, one)
+	}
+}
+
 // Callers that hold connections for nothing must not keep others out.
 func TestQuietCallersGiveWay(t *testing.T) {
 	cfg := config(t, script(t, echo).Addr().String())
