Rank a server by what it holds now, not by its mean answer of a while ago

The mean answer of a server tells of calls sent a while ago. The mean is now scaled by the calls out there against those out when it was measured.

--- a/balancer.go
+++ b/balancer.go
@@ -88,10 +88,15 @@
 	samples           [ringSize]sample
 	count             int     // samples ever taken
 	pace              float64 // mean ratio of its answers; 0 = none yet
+	crowd             float64 // mean number of calls out there, with each of these
 }
 
 func (s *server) ready() bool { return s.listed && s.State == Ready }
 
+// expected is the ratio that one more call should meet: its pace is that of calls sent a while ago, and
+// follows what it holds now too late.
+func (s *server) expected() float64 { return s.pace * float64(s.out+1) / max(s.crowd, 1) }
+
 // serves tells whether the room is for this server too.
 func (s *server) serves() bool { return s.ready() && !s.cut && !s.silent }
 
@@ -466,7 +471,7 @@
 		if s.cold && s.credit < 1 || s.cut && left < 1 || s.silent && s.out > 0 {
 			continue
 		}
-		rank := left/most - paceWeight*s.pace/max(b.typical, 1e-9) // of like servers the quicker one
+		rank := left/most - paceWeight*s.expected()/max(b.typical, 1e-9) // of like servers the quicker one
 		if s.cut && b.set.Classes[q.class].Effect == Safe {
 			rank += 50 // a trial call: its floor is small, and without one it never returns
 		} else if b.told(s) {
@@ -786,7 +791,9 @@
 	ratio := failRatio
 	if c := &b.classes[class]; out == OK {
 		ratio = took / c.threshold
-		s.pace += max(2*latencyGain, 1/float64(s.count+1)) * (min(ratio, failRatio) - s.pace)
+		gain := max(2*latencyGain, 1/float64(s.count+1))
+		s.pace += gain * (min(ratio, failRatio) - s.pace)
+		s.crowd += gain * (float64(s.out+1) - s.crowd)
 		if c.latency == 0 {
 			c.latency = took
 		}
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -377,6 +377,32 @@
 	}
 }
 
+// The mean answer of a server is that of calls sent a while ago. Till it shows what is out there now, the server that
+// was quickest must not draw all calls: it would be driven over, and then the next.
+func TestQuickServerDrawsNoHerd(t *testing.T) {
+	set := plain()
+	set.Classes[2].Aim, set.Classes[2].GiveUp = 5000, 10000
+	h := start(t, set, ids(4)...)
+	h.b.room, h.b.roomAt, h.b.pooled, h.b.typical = 100, math.Inf(1), 100, 0.1
+	for i, s := range h.b.live { // at three calls each, one server answers in two thirds of the others' time
+		s.linked, s.pace, s.crowd, s.count, s.reviseAt = true, 0.12, 3, ringSize, math.Inf(1)
+		s.measured, s.load = true, 100
+		if i == 0 {
+			s.pace = 0.08
+		}
+	}
+	h.b.recount()
+	for id := uint32(1); id <= 36; id++ { // none is answered meanwhile
+		h.b.sends.add(h.now, 10)
+		h.do(Event{Kind: EvRequest, Request: id, Class: 2, Due: h.now + 10000})
+	}
+	for i, s := range h.b.live {
+		if s.out < 6 || s.out > 15 {
+			t.Errorf("%d of 36 calls at server %d", s.out, i)
+		}
+	}
+}
+
 // A cut server whose connections have gone idle must still get its trial calls while others have room, or it never
 // returns; a call that may not run twice is not risked on it.
 func TestCutServerGetsTrials(t *testing.T) {
