Scale a server's mean answer by the root of the calls it holds, not in proportion

Only a part of an answer grows with the calls a server holds; the rest is spent in the next tier. In proportion, a server driven over got calls again before it had rested.

--- a/balancer.go
+++ b/balancer.go
@@ -95,7 +95,7 @@
 
 // expected is the ratio that one more call should meet: its pace is that of calls sent a while ago, and
 // follows what it holds now too late.
-func (s *server) expected() float64 { return s.pace * float64(s.out+1) / max(s.crowd, 1) }
+func (s *server) expected() float64 { return s.pace * math.Sqrt(float64(s.out+1)/max(s.crowd, 1)) }
 
 // serves tells whether the room is for this server too.
 func (s *server) serves() bool { return s.ready() && !s.cut && !s.silent }
