Tell refused clients when to come back only as far as the settings allow

Every refusal, of the module or of the loop's backstop, carried Retry-After: 1, also where retryAfter is off or maxRetryAfter is shorter.

--- a/balancer.go
+++ b/balancer.go
@@ -57,6 +57,7 @@
 	calmDrift     = 0.005   // and that least mean forgets by this share a second
 	wakeLeast     = 5.0     // shortest timer, so that waiting calls cost little CPU
 	wakeMost      = 20.0    // longest timer while calls wait
+	comeBack      = 1000.0  // a refused client is asked back then: answers have been measured anew
 	askSpread     = 0.3     // first call to the list is spread over this share of AskEvery
 	askBackoff    = 1000.0  // first wait after a failed call to the list; doubles, with jitter
 )
@@ -697,10 +698,18 @@
 	if harmless {
 		kind = ActRefuse
 	}
-	b.acts = append(b.acts, Action{Kind: kind, Request: q.id, After: windowTime})
+	b.acts = append(b.acts, Action{Kind: kind, Request: q.id, After: b.set.Limits.ComeBack()})
 	b.forget(q)
 }
 
+// ComeBack is the time told with a refusal: none where clients are not told, and no longer than they wait.
+func (l *Limits) ComeBack() float64 {
+	if !l.RetryAfter {
+		return 0
+	}
+	return min(comeBack, cmp.Or(l.MaxRetryAfter, comeBack))
+}
+
 // forget marks a call as ended; its record stays until its last attempt closes.
 func (b *Balancer) forget(q *request) {
 	if c := &b.classes[q.class]; !q.ended {
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -16,8 +16,7 @@
 	margin     = 50 * time.Millisecond
 	marginPart = 0.1 // and this share of the time that the client gives, at most
 	// backstop is how long after that the loop answers what the module has left unanswered.
-	backstop   = 10 * time.Millisecond
-	retryAfter = time.Second // told with a refusal of the loop's own
+	backstop = 10 * time.Millisecond
 )
 
 // call is one request that the sidecar has taken. The loop owns it.
@@ -74,6 +73,7 @@
 	start     time.Time
 	startMS   float64 // the same as Unix time
 	balancer  *whinknot.Balancer
+	comeBack  time.Duration // told with a refusal of the loop's own
 	actions   []whinknot.Action
 	mail      chan func()
 	ended     chan struct{} // closed when the program ends
@@ -104,6 +104,7 @@
 	if set.Limits.MaxOpen == 0 || set.Limits.MaxOpen > up.most {
 		set.Limits.MaxOpen = up.most // each open request may need a connection
 	}
+	l.comeBack = millis(set.Limits.ComeBack())
 	var err error
 	l.balancer, err = whinknot.New(set, cfg.Seed, l.now())
 	return l, err
@@ -296,7 +297,7 @@
 	}
 	a := answer{status: statusFailed}
 	if !c.mayRun && c.open == 0 {
-		a = answer{status: statusRefused, retryAfter: retryAfter}
+		a = answer{status: statusRefused, retryAfter: l.comeBack}
 	}
 	l.callOff(c)
 	l.finish(c, a)
