Take a begun answer for a sign of life, so that no stream makes its server silent

A server with nothing out but long streams counted as overdue: it was ranked last, and since silent servers leave the room it would have got one call at a time. Its streams are not waited for any more, and the first byte counts as heard.

--- a/balancer.go
+++ b/balancer.go
@@ -77,7 +77,7 @@
 	measured          bool // has a load of its own; others take the mean
 	cut               bool // at the floor since a run of failures
 	silent            bool // it said nothing for too long, with calls out: they leave the room to others
-	out               int  // attempts sent and not answered
+	out, streams      int  // attempts sent and not ended; those of them whose answer has begun
 	load, maxLoad     float64
 	credit, accruedAt float64
 	lastSent          float64
@@ -103,11 +103,12 @@
 
 // attempt is one send of a request.
 type attempt struct {
-	server *server
-	sentAt float64
-	held   float64 // calls the server held with it, as far as told
-	open   bool
-	silent bool // it was called off, as its server said nothing
+	server  *server
+	sentAt  float64
+	held    float64 // calls the server held with it, as far as told
+	open    bool
+	silent  bool // it was called off, as its server said nothing
+	streams bool // its answer has begun
 }
 
 // doubt is an attempt that may have gone to a server that is silent, and when to look.
@@ -589,7 +590,7 @@
 }
 
 // overdue tells whether a server has calls out and gave no answer for too long: it is over threshold already.
-func (b *Balancer) overdue(s *server) bool { return s.out > 0 && b.now-s.heard > b.silence }
+func (b *Balancer) overdue(s *server) bool { return s.out > s.streams && b.now-s.heard > b.silence }
 
 // findSilent takes the servers that are overdue out of the room, and tells whether there were any: their
 // calls may stay out till they time out, and would leave no room beside idle servers. Till one is heard of
@@ -743,6 +744,9 @@
 func (b *Balancer) first(ev *Event) {
 	if q := b.requests[ev.Request]; q != nil && int(ev.Attempt) < len(q.attempts) && !q.streaming {
 		q.streaming = true
+		q.attempts[ev.Attempt].streams = true
+		q.attempts[ev.Attempt].server.streams++
+		b.heard(q.attempts[ev.Attempt].server)
 		b.learn(q.attempts[ev.Attempt].server, int(q.class), OK, ev.Took)
 	}
 }
@@ -756,6 +760,9 @@
 	a := &q.attempts[ev.Attempt]
 	a.open = false
 	b.count(a.server, -1)
+	if a.streams {
+		a.server.streams--
+	}
 	switch ev.Outcome {
 	case OK, Error, Full, Reset:
 		b.heard(a.server)
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -377,6 +377,25 @@
 	}
 }
 
+// An answer that has begun may take long: its server has been heard of and is not overdue.
+func TestStreamingServerIsNotSilent(t *testing.T) {
+	set := plain()
+	set.Classes[0].Stream = true
+	h := start(t, set, ids(2)...)
+	sent := h.request(1, 0)
+	s := h.b.byID[sent[0].Server]
+	h.now += 300
+	h.do(Event{Kind: EvFirst, Request: 1, Server: s.Server, Took: 300})
+	h.now += 10 * h.b.silence
+	if h.b.overdue(s) {
+		t.Error("overdue with nothing out but a stream")
+	}
+	h.do(Event{Kind: EvOutcome, Request: 1, Server: s.Server, Took: 9000, Done: true})
+	if s.streams != 0 || s.out != 0 {
+		t.Errorf("%d streams and %d calls out after the end", s.streams, s.out)
+	}
+}
+
 // Where no server says anything the cause is shared: the room must hold, or each second of it would fill them more.
 func TestSharedSilenceKeepsTheRoom(t *testing.T) {
 	set := plain()
