--- a/balancer_test.go
+++ b/balancer_test.go
@@ -387,7 +387,7 @@
 	h.now += 300
 	h.do(Event{Kind: EvFirst, Request: 1, Server: s.Server, Took: 300})
 	h.now += 10 * h.b.silence
-	if h.b.overdue(s) {
+	if h.do(Event{Kind: EvTimer, Token: h.b.timer}); h.b.overdue(s) {
 		t.Error("overdue with nothing out but a stream")
 	}
 	h.do(Event{Kind: EvOutcome, Request: 1, Server: s.Server, Took: 9000, Done: true})
