Move discovery off the loop, so that no list and SIGHUP wait for each other

hear holds discovery's mutex while it posts a list to the loop; Move, run on the loop, took that mutex. With the mail full and another post waiting ahead, both waited for good: no request was answered any more. The other callers of that mutex are not on the loop.

--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -96,14 +96,13 @@
 	return nil
 }
 
-// Move has discovery watched at another address from now on; the list that is held stays in use.
+// Move has discovery watched at another address from now on; the list that is held stays in use. The loop must not
+// wait for discovery's mutex: a watch holds that while it waits for room in the loop's mail.
 func (s *Sidecar) Move(addr string) {
-	s.loop.post(func() {
-		if s.discovery.move(addr) {
-			slog.Info("discovery moves", "addr", addr)
-			s.loop.watch()
-		}
-	})
+	if s.discovery.move(addr) {
+		slog.Info("discovery moves", "addr", addr)
+		s.loop.post(func() { s.loop.watch() })
+	}
 }
 
 // last is the time from SIGTERM at which what is left is given up, so as to be answered before SIGKILL.
