Keep one follow of a pushed list, also when discovery moves away and back

A follow ended when its address was no more discovery's. With SIGHUP to A, B, A it was again, so two follows went on at A, and each new watch of one ended the other's: seen in the test as a third call beside the watch that lives. Ruled out: once itself, which ends only an earlier watch. Now a later follow ends an earlier one.

--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -130,6 +130,7 @@
 	mu    sync.Mutex
 	addr  string
 	rev   int64  // version of the list held
+	takes int    // number of the latest follow
 	begun int    // number of the latest watch
 	heard int    // number of the one that is listened to
 	end   func() // ends that one
@@ -144,21 +145,17 @@
 	return moved
 }
 
-// at returns the address and the version of the list held.
-func (d *discovery) at() (string, int64) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.addr, d.rev
-}
-
-// follow keeps a pushed list watched until ctx ends or discovery moves.
+// follow keeps a pushed list watched until ctx ends or a later follow is begun. The address does not tell: discovery
+// may have moved back meanwhile, and two that follow at one address would take the watch from each other for good.
 func (d *discovery) follow(ctx context.Context) {
+	d.mu.Lock()
+	d.takes++
+	take := d.takes
+	d.mu.Unlock()
 	wait := backoffFirst
-	addr, rev := d.at()
-	for here := addr; ctx.Err() == nil && here == addr; {
+	for rev, latest := d.held(take); latest && ctx.Err() == nil; _, latest = d.held(take) {
 		d.once(ctx)
-		now := rev
-		if here, now = d.at(); now != rev {
+		if now, _ := d.held(take); now != rev {
 			wait, rev = backoffFirst, now
 		}
 		select {
@@ -169,6 +166,13 @@
 	}
 }
 
+// held returns the version of the list held, and whether that follow is the latest.
+func (d *discovery) held(take int) (int64, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.rev, take == d.takes
+}
+
 // once watches until the watch ends, and reports that unless a later watch has been begun meanwhile.
 func (d *discovery) once(ctx context.Context) {
 	ctx, cancel := context.WithCancel(ctx)
--- a/internal/sidecar/race_test.go
+++ b/internal/sidecar/race_test.go
@@ -58,3 +58,38 @@
 		t.Fatal("the loop stands still")
 	}
 }
+
+// Discovery moves away and back at once, as two SIGHUPs may have it: one follow is left. Two would take the watch
+// from each other for as long as the program runs.
+func TestMoveAwayAndBack(t *testing.T) {
+	calls, ended, done := make(chan int, 100), make(chan int, 100), make(chan struct{})
+	defer close(done)
+	here := script(t, func(n int, c net.Conn, _ *http.Request) bool {
+		calls <- n
+		io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\n\n")
+		c.Read(make([]byte, 1))
+		ended <- n
+		return false
+	}).Addr().String()
+	d := &discovery{silence: long, addr: here, tell: func(List) {}, failed: func() {}}
+	first := make(chan struct{})
+	go func() { d.follow(t.Context()); close(first) }()
+	<-calls
+	if !d.move(listen(t).Addr().String()) || !d.move(here) {
+		t.Fatal("no move")
+	}
+	go d.follow(t.Context())
+	if n := <-calls; n != 1 {
+		t.Fatalf("watch %d, want the second", n)
+	}
+	if n := <-ended; n != 0 {
+		t.Fatalf("watch %d ended, want the first", n)
+	}
+	select {
+	case <-first:
+	case n := <-calls:
+		t.Fatalf("watch %d was begun beside the one that lives", n)
+	case <-time.After(long):
+		t.Fatal("the first follow goes on")
+	}
+}
