Wake a caller's goroutine before its answer, so that no next request is struck

The loop gave the answer and then set a read deadline in the past, to end the Peek. With bytes of a next request behind the first, Peek had returned already: the goroutine wrote the answer, went on to the next request, and the late deadline ended its reading, so a request that was taken got no answer (test: unexpected EOF, each time). The deadline is set first now, and a Peek that ends by it waits for the answer.

--- a/internal/sidecar/front.go
+++ b/internal/sidecar/front.go
@@ -1,12 +1,14 @@
 package sidecar
 
 import (
+	"errors"
 	"fmt"
 	"hash/fnv"
 	"io"
 	"math"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -119,20 +121,20 @@
 func (f *front) have(c *caller, k *call) (answer, bool) {
 	answered := make(chan answer, 1)
 	k.reply = func(a answer) {
+		c.SetReadDeadline(time.Unix(1, 0)) // ends the Peek; behind the answer, it could end the next request's reading
 		answered <- a
-		c.SetReadDeadline(time.Unix(1, 0)) // ends the Peek
 	}
 	k.due(f.loop.clock(time.Now()))
 	c.SetReadDeadline(time.Time{})
 	f.callers.begins(c)
 	f.loop.post(func() { f.loop.take(k) })
 	_, err := c.reader.Peek(1) // its caller leaves, or sends a next request already
-	select {
-	case a := <-answered:
-		return a, true
-	default:
-	}
-	if err != nil {
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		select {
+		case a := <-answered:
+			return a, true
+		default:
+		}
 		f.loop.post(func() { f.loop.gone(k) })
 		return answer{}, false
 	}
--- a/internal/sidecar/race_test.go
+++ b/internal/sidecar/race_test.go
@@ -93,3 +93,71 @@
 		t.Fatal("the first follow goes on")
 	}
 }
+
+// heldDeadline is a caller's connection on which a read deadline in the past is held back until the answer is written
+// and the next one is set; where that is not to come, for a moment.
+type heldDeadline struct {
+	net.Conn
+	written, next chan struct{}
+}
+
+func (c *heldDeadline) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	signal(c.written)
+	return n, err
+}
+
+func (c *heldDeadline) SetReadDeadline(at time.Time) error {
+	if at.Equal(time.Unix(1, 0)) {
+		for _, before := range []chan struct{}{c.written, c.next} {
+			select {
+			case <-before:
+			case <-time.After(20 * time.Millisecond): // sound code is only held up by it
+			}
+		}
+	} else if !at.IsZero() {
+		signal(c.next)
+	}
+	return c.Conn.SetReadDeadline(at)
+}
+
+// signal notes that something was seen; once is enough.
+func signal(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+type listenerOf struct {
+	net.Listener
+	wrap func(net.Conn) net.Conn
+}
+
+func (l listenerOf) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return l.wrap(c), nil
+}
+
+// The read deadline that wakes a caller's goroutine for an answer must not strike the next request on the connection,
+// which may have come behind the first.
+func TestAnAnswerDoesNotEndTheNextRequest(t *testing.T) {
+	s, came := serving(t, func(s *Sidecar) {
+		s.listener = listenerOf{s.listener, func(c net.Conn) net.Conn {
+			return &heldDeadline{c, make(chan struct{}, 1), make(chan struct{}, 1)}
+		}}
+	})
+	c := dial(t, s)
+	for _, id := range []string{"first", "second"} {
+		c.id = id
+		c.send("GET", "read", "")
+	}
+	for range 2 {
+		if res, _ := c.answer(t); res.StatusCode != 200 {
+			t.Errorf("status %d after %s", res.StatusCode, <-came)
+		}
+	}
+}
