Keep an id with its open request when a client that was turned away for it leaves

A request whose id is open is answered 409. When its client left at that moment, the loop heard gone after the answer and released the call: that deleted the id, which was the first call's, and a third request of the id was taken and sent on beside the first, for an unsafe class too. The id is deleted only by the call that holds it. Forced by a test that has answer and leaving cross; it fails without the mend, -race -count=50 green with it.

--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -80,7 +80,7 @@
 	up        *upstream
 	watch     func() // asks for the list to be watched
 	calls     map[uint32]*call
-	ids       map[string]bool // of their clients
+	ids       map[string]*call // by the ids of their clients
 	lastID    uint32
 	agenda    agenda
 	timer     *time.Timer
@@ -95,7 +95,7 @@
 	l := &loop{
 		start: now, startMS: float64(now.UnixMicro()) / 1000,
 		mail: make(chan func(), 256), ended: make(chan struct{}), up: up, watch: func() {},
-		calls: map[uint32]*call{}, ids: map[string]bool{}, timer: time.NewTimer(time.Hour), armed: math.Inf(1),
+		calls: map[uint32]*call{}, ids: map[string]*call{}, timer: time.NewTimer(time.Hour), armed: math.Inf(1),
 		directory: newDirectory(cfg.Site.Zones, cfg.Site.Kinds), listed: map[uint32]bool{},
 	}
 	set := cfg.Site.Settings
@@ -203,11 +203,11 @@
 
 // take begins a request that has come whole.
 func (l *loop) take(c *call) {
-	if l.ids[c.id] {
+	if l.ids[c.id] != nil {
 		c.reply(answer{status: http.StatusConflict, body: []byte("a request with this X-Request-Id is open\n")})
 		return
 	}
-	l.ids[c.id] = true
+	l.ids[c.id] = c
 	l.lastID++
 	c.event.Kind, c.event.Request = whinknot.EvRequest, l.lastID
 	l.calls[l.lastID] = c
@@ -264,6 +264,9 @@
 	if !c.ended || c.open > 0 {
 		return
 	}
+	if l.ids[c.id] != c { // it was turned away, as another call has its id
+		return
+	}
 	delete(l.calls, c.event.Request)
 	delete(l.ids, c.id)
 	if c.backstop != nil && c.backstop.place >= 0 {
--- a/internal/sidecar/race_test.go
+++ b/internal/sidecar/race_test.go
@@ -310,3 +310,26 @@
 		}
 	}}
 }
+
+// A second request with an id that is open is turned away just when its client leaves. That must not free the id: a
+// third one would be sent on beside the first.
+func TestLeavingDoesNotFreeAnID(t *testing.T) {
+	cfg := patient(t, "127.0.0.1:1")
+	cfg.Known.Targets[0].State = "Terminating"
+	s := start(t, cfg)
+	statuses := make(chan int, 3)
+	request := func() *call {
+		return &call{id: "id", event: whinknot.Event{Due: s.loop.now() + 1e6}, reply: func(a answer) { statuses <- a.status }}
+	}
+	second := request()
+	s.loop.ask(func() { s.loop.take(request()) })
+	s.loop.ask(func() { s.loop.take(second) })
+	s.loop.ask(func() { s.loop.gone(second) }) // its answer and its client cross
+	s.loop.ask(func() { s.loop.take(request()) })
+	if len(statuses) != 2 || <-statuses != http.StatusConflict || <-statuses != http.StatusConflict {
+		t.Fatal("a request was taken beside one of its id")
+	}
+	if s.loop.ask(func() { s.loop.giveUpAll() }); <-statuses != statusRefused {
+		t.Error("the first request was not kept")
+	}
+}
