Let a request come once more while an attempt of its left copy is being called off

Its id counted as open until the last attempt had ended, so the same request on a new connection was answered 409, a failure, though its client had left the first. It waits now for that end, which comes at once, and is then taken; if the first may have run, only a class that is safe to repeat goes out. The test holds that end back. Ruled out: sending both, as the endpoint would see a second copy.

--- a/internal/sidecar/front.go
+++ b/internal/sidecar/front.go
@@ -210,7 +210,7 @@
 	k = &call{
 		event: whinknot.Event{Class: index, Tenant: tenant, Hint: hint / 1000},
 		wait:  1000*wait - min(float64(margin.Milliseconds()), 1000*marginPart*wait),
-		id:    h.Get("X-Request-Id"),
+		id:    h.Get("X-Request-Id"), safe: class.Effect == whinknot.Safe,
 	}
 	if cookie, err := (&http.Request{Header: h}).Cookie("obj"); err == nil {
 		sum := fnv.New64a()
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -28,9 +28,11 @@
 	reply    func(answer) // takes the one final answer
 	backstop *due
 	ended    bool
+	safe     bool // it may run any number of times
 	mayRun   bool // an attempt that is over may have run
 	open     int  // attempts out
 	attempts []*attempt
+	again    *call // the same request once more, from a client that had left this one
 }
 
 // due tells the call when it arrived.
@@ -81,6 +83,7 @@
 	watch     func() // asks for the list to be watched
 	calls     map[uint32]*call
 	ids       map[string]*call // by the ids of their clients
+	again     []*call          // over now; each has been asked for again meanwhile
 	lastID    uint32
 	agenda    agenda
 	timer     *time.Timer
@@ -157,6 +160,11 @@
 
 // expire does what is due.
 func (l *loop) expire() {
+	for len(l.again) > 0 {
+		old := l.again[0]
+		l.again = l.again[1:]
+		l.takeAgain(old)
+	}
 	for len(l.agenda) > 0 && l.agenda[0].at <= l.now() {
 		d := heap.Pop(&l.agenda).(*due)
 		if d.call == nil {
@@ -203,7 +211,12 @@
 
 // take begins a request that has come whole.
 func (l *loop) take(c *call) {
-	if l.ids[c.id] != nil {
+	if old := l.ids[c.id]; old != nil && old.ended && old.again == nil {
+		old.again = c // what is open of it is called off and ends soon
+		c.mayRun = old.mayRun || old.open > 0
+		l.awaitEnd(c)
+		return
+	} else if old != nil {
 		c.reply(answer{status: http.StatusConflict, body: []byte("a request with this X-Request-Id is open\n")})
 		return
 	}
@@ -211,11 +224,31 @@
 	l.lastID++
 	c.event.Kind, c.event.Request = whinknot.EvRequest, l.lastID
 	l.calls[l.lastID] = c
-	c.backstop = &due{at: c.event.Due + float64(backstop.Milliseconds()), call: c}
-	heap.Push(&l.agenda, c.backstop)
+	l.awaitEnd(c)
 	l.handle(&c.event)
 }
 
+// awaitEnd sets a call's backstop.
+func (l *loop) awaitEnd(c *call) {
+	if c.backstop == nil {
+		c.backstop = &due{at: c.event.Due + float64(backstop.Milliseconds()), call: c}
+		heap.Push(&l.agenda, c.backstop)
+	}
+}
+
+// takeAgain takes a request that has waited for the end of an earlier copy of it. If that may have run, only a request
+// that is safe to repeat may go out.
+func (l *loop) takeAgain(old *call) {
+	switch c := old.again; {
+	case c == nil || c.ended:
+	case old.mayRun && !c.safe:
+		l.finish(c, answer{status: statusFailed})
+	default:
+		c.mayRun = false
+		l.take(c)
+	}
+}
+
 // send starts an attempt; its goroutine posts the outcome.
 func (l *loop) send(c *call, server uint32, until float64) {
 	sent, begin := time.Now(), time.Time{}
@@ -264,13 +297,16 @@
 	if !c.ended || c.open > 0 {
 		return
 	}
-	if l.ids[c.id] != c { // it was turned away, as another call has its id
+	if c.backstop != nil && c.backstop.place >= 0 {
+		heap.Remove(&l.agenda, c.backstop.place)
+	}
+	if l.ids[c.id] != c { // it was not taken, as another call has its id
 		return
 	}
 	delete(l.calls, c.event.Request)
 	delete(l.ids, c.id)
-	if c.backstop != nil && c.backstop.place >= 0 {
-		heap.Remove(&l.agenda, c.backstop.place)
+	if c.again != nil {
+		l.again = append(l.again, c) // not now: the module's actions are being carried out
 	}
 }
 
--- a/internal/sidecar/race_test.go
+++ b/internal/sidecar/race_test.go
@@ -333,3 +333,42 @@
 		t.Error("the first request was not kept")
 	}
 }
+
+// A client leaves and asks once more under the same id, on another connection, while the attempt for it is being
+// called off. It is served if that is safe or nothing can have run, and fails otherwise: it must not run twice, and
+// it is not another request's id that it uses.
+func TestTheSameRequestOnceMore(t *testing.T) {
+	for _, c := range []struct {
+		method, class string
+		want, sends   int
+	}{{"GET", "read", 200, 2}, {"POST", "pay", statusFailed, 1}} {
+		came, hold := make(chan struct{}, 10), make(chan struct{})
+		s := start(t, config(t, script(t, func(n int, conn net.Conn, r *http.Request) bool {
+			if came <- struct{}{}; len(came) == 1 {
+				<-hold
+			}
+			return echo(n, conn, r)
+		}).Addr().String()))
+		first, second := dial(t, s), dial(t, s)
+		first.send(c.method, c.class, "")
+		eventually(t, "the first attempt", func() bool { return len(came) == 1 })
+		// What ends the attempt is held back until the second request has come.
+		var old *call
+		s.loop.ask(func() { old = s.loop.ids["id"]; old.open++ })
+		first.Close()
+		eventually(t, "the client's leaving", func() (ended bool) { s.loop.ask(func() { ended = old.ended }); return ended })
+		second.send(c.method, c.class, "")
+		eventually(t, "the second request", func() (waits bool) {
+			s.loop.ask(func() { waits = old.again != nil })
+			return waits
+		})
+		s.loop.post(func() { old.open--; s.loop.release(old) })
+		if res, _ := second.answer(t); res.StatusCode != c.want || len(came) != c.sends {
+			t.Errorf("%s: status %d after %d sends, want %d after %d", c.class, res.StatusCode, len(came), c.want, c.sends)
+		}
+		close(hold)
+		for left := 1; left > 0; {
+			s.loop.ask(func() { left = len(s.loop.calls) + len(s.loop.ids) + len(s.loop.agenda) })
+		}
+	}
+}
