Close no caller's connection on which a request has begun to come

A connection counted as quiet until its request was read whole. In a drain, and near the limit of descriptors, it was closed then, with half a request read, or a whole one that was read but not yet marked, or one that waited unread: taken and never answered. Now it stops being quiet with the first byte, and a quiet one is only asked to give way: its own goroutine, which alone can tell that nothing came, closes it. Requests that come slowly still give way near the limit, after 0.5 s. Tests hold the bytes back before and behind the read.

--- a/internal/sidecar/callers.go
+++ b/internal/sidecar/callers.go
@@ -24,29 +24,41 @@
 	lingerBytes  = 256 << 10 // read and dropped of a caller that still sends, for an error to reach it
 	acceptPause  = 5 * time.Millisecond
 	drainPoll    = 5 * time.Millisecond
-	spareCallers = 8 // so many below the limit, quiet connections start to give way
+	spareCallers = 8                      // so many below the limit, quiet connections start to give way
+	slowTime     = 500 * time.Millisecond // a request that has been coming for so long is not sent in earnest
 )
 
-// caller is one connection of a caller.
+// caller is one connection of a caller. Its other fields are guarded by callers.mu.
 type caller struct {
 	net.Conn
 	reader *bufio.Reader
-	quiet  *list.Element // nil while a request is open
+	in     *list.List // that it is in; nil while a request is open
+	place  *list.Element
+	since  time.Time // when it came there
+	asked  bool      // to give way, if no request has come meanwhile
+	ended  bool      // it was too slow: what comes is no request any more
 }
 
 // callers holds the callers' connections. Near the limit those without an open request give way, the one quiet
-// longest first: callers that hold connections for nothing, or send slowly, keep none out.
+// longest first, and then slow ones: callers that hold connections for nothing, or send slowly, keep none out. One on
+// which a request has begun to come does not, as the request may be whole at any moment and is taken then.
 type callers struct {
-	most  int
-	mu    sync.Mutex
-	open  int
-	quiet *list.List // those without an open request, the one quiet longest first
+	most   int
+	slow   time.Duration // see slowTime
+	ended  chan struct{} // closed when none is accepted any more
+	mu     sync.Mutex
+	open   int
+	quiet  *list.List // those without a request, the one quiet longest first
+	coming *list.List // those whose request has begun to come, the first one first
 }
 
-func newCallers(most int) *callers { return &callers{most: most, quiet: list.New()} }
+func newCallers(most int) *callers {
+	return &callers{most: most, slow: slowTime, ended: make(chan struct{}), quiet: list.New(), coming: list.New()}
+}
 
 // serve accepts connections until the listener is closed; each is served by talk.
 func (cs *callers) serve(ln net.Listener, talk func(*caller)) error {
+	defer close(cs.ended)
 	for {
 		conn, err := ln.Accept()
 		switch {
@@ -69,8 +81,7 @@
 func (cs *callers) add(conn net.Conn) *caller {
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
-	if cs.open > cs.most-spareCallers && cs.quiet.Len() > 0 {
-		cs.quiet.Remove(cs.quiet.Front()).(*caller).Close()
+	if cs.open > cs.most-spareCallers && cs.oneGivesWay() {
 		cs.mu.Unlock()
 		runtime.Gosched() // its descriptor is free once its goroutine has run
 		cs.mu.Lock()
@@ -80,38 +91,94 @@
 		return nil
 	}
 	c := &caller{Conn: conn, reader: bufio.NewReader(conn)}
-	c.quiet = cs.quiet.PushBack(c)
+	cs.put(c, cs.quiet)
 	cs.open++
 	return c
 }
 
+// oneGivesWay ends the connection that is needed least, if there is one.
+func (cs *callers) oneGivesWay() bool {
+	if e := cs.quiet.Front(); e != nil {
+		cs.ask(e.Value.(*caller))
+		return true
+	}
+	if e := cs.coming.Front(); e != nil && time.Since(e.Value.(*caller).since) > cs.slow {
+		c := e.Value.(*caller)
+		cs.put(c, nil)
+		c.ended = true
+		c.Close()
+		return true
+	}
+	return false
+}
+
+// ask has the goroutine of a quiet connection close it. Only that goroutine can tell that no request has come.
+func (cs *callers) ask(c *caller) {
+	cs.put(c, nil)
+	c.asked = true
+	c.SetReadDeadline(time.Unix(1, 0))
+}
+
+// put moves a connection to the end of a list, or out of all.
+func (cs *callers) put(c *caller, in *list.List) {
+	if c.in != nil {
+		c.in.Remove(c.place)
+	}
+	if c.in, c.since = in, time.Now(); in != nil {
+		c.place = in.PushBack(c)
+	}
+}
+
 func (cs *callers) remove(c *caller) {
 	c.Close()
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
 	cs.open--
-	cs.quiet.Remove(c.quiet)
+	cs.put(c, nil)
 }
 
-// begins marks a connection as one with an open request; ends, as one without.
-func (cs *callers) begins(c *caller) {
+// comes waits until a request begins to come and tells whether one does by then. Where the connection was asked to
+// give way, bytes that have come by now still count.
+func (cs *callers) comes(c *caller, by time.Time) bool {
+	c.SetReadDeadline(by)
+	if cs.isAsked(c) { // before that deadline was set
+		c.SetReadDeadline(time.Unix(1, 0))
+	}
+	_, err := c.reader.Peek(1)
+	for err != nil && cs.isAsked(c) && c.unread() {
+		c.SetReadDeadline(by)
+		_, err = c.reader.Peek(1)
+	}
+	return err == nil && cs.goOn(c, cs.coming)
+}
+
+func (cs *callers) isAsked(c *caller) bool {
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
-	cs.quiet.Remove(c.quiet)
+	return c.asked
 }
 
-func (cs *callers) ends(c *caller) {
+// begins marks a connection as one with an open request, ends as a quiet one. Both tell whether it may go on.
+func (cs *callers) begins(c *caller) bool { return cs.goOn(c, nil) }
+func (cs *callers) ends(c *caller) bool   { return cs.goOn(c, cs.quiet) }
+
+func (cs *callers) goOn(c *caller, in *list.List) bool {
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
-	c.quiet = cs.quiet.PushBack(c)
+	if !c.ended {
+		c.asked = false
+		cs.put(c, in)
+	}
+	return !c.ended
 }
 
-// drain closes what has no open request, until nothing is left or the time is up.
+// drain closes what is quiet, until nothing is left or the time is up. What has begun to come may still become a
+// request, and is answered.
 func (cs *callers) drain(until time.Time) {
 	for left := 1; left > 0 && time.Now().Before(until); {
 		cs.mu.Lock()
 		for e := cs.quiet.Front(); e != nil; e = cs.quiet.Front() {
-			cs.quiet.Remove(e).(*caller).Close()
+			cs.ask(e.Value.(*caller))
 		}
 		left = cs.open
 		cs.mu.Unlock()
@@ -119,6 +186,12 @@
 	}
 }
 
+// unread looks, without waiting, whether bytes have come that were not read yet.
+func (c *caller) unread() bool {
+	n, err := peek(c.Conn)
+	return err == nil && n > 0
+}
+
 // leaves waits until the caller has left, and tells that; it has not when a read deadline ends the wait. What comes
 // behind its request stays in the reader, as far as there is room. An end behind more than that is no end of the
 // stream yet: only a poll shows it.
@@ -169,13 +242,17 @@
 	return err
 }
 
-// turnAway answers what cannot be taken and ends the connection: nothing behind it can be read for sure. What its
-// caller still sends is dropped for a while, as a close with bytes unread could overtake the answer.
+// turnAway answers what cannot be taken and ends the connection: nothing behind it can be read for sure.
 func (c *caller) turnAway(status int, complaint string) {
-	if c.answer(&answer{status: status, body: []byte(complaint + "\n")}, true) != nil {
-		return
+	if c.answer(&answer{status: status, body: []byte(complaint + "\n")}, true) == nil {
+		c.finish()
 	}
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+}
+
+// finish ends a connection behind its last answer. What its caller still sends is dropped for a while, as a close with
+// bytes unread is a reset, which could overtake the answer.
+func (c *caller) finish() {
+	if tcp, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		tcp.CloseWrite()
 	}
 	c.SetReadDeadline(time.Now().Add(lingerTime))
--- a/internal/sidecar/front.go
+++ b/internal/sidecar/front.go
@@ -60,13 +60,14 @@
 // talk serves one connection: a request, its answer, and so on, while both sides keep it.
 func (f *front) talk(c *caller) {
 	for first, lasts := true, true; lasts; first = false {
-		c.SetReadDeadline(time.Now().Add(f.quiet))
+		by := time.Now().Add(f.quiet)
+		if !f.callers.comes(c, by) {
+			return
+		}
 		if !first {
-			if _, err := c.reader.Peek(1); err != nil {
-				return
-			}
-			c.SetReadDeadline(time.Now().Add(f.quiet))
+			by = time.Now().Add(f.quiet)
 		}
+		c.SetReadDeadline(by)
 		m, err := readMessage(c.reader)
 		if err != nil {
 			f.complain(c, err)
@@ -77,7 +78,7 @@
 			m.length = 0
 		}
 		if m.first == "GET /-/ready HTTP/1.1" {
-			if c.answer(&answer{status: f.ready()}, !lasts) != nil {
+			if c.answer(&answer{status: f.ready()}, !lasts) != nil || !f.callers.ends(c) {
 				return
 			}
 			continue
@@ -97,10 +98,9 @@
 		}
 		a, ok := f.have(c, k)
 		lasts = lasts && !f.ending.Load() && a.status/100 != 4
-		if !ok || c.answer(&a, !lasts) != nil {
+		if !ok || c.answer(&a, !lasts) != nil || lasts && !f.callers.ends(c) {
 			return
 		}
-		f.callers.ends(c)
 	}
 }
 
@@ -124,7 +124,9 @@
 	}
 	k.due(f.loop.clock(time.Now()))
 	c.SetReadDeadline(time.Time{})
-	f.callers.begins(c)
+	if !f.callers.begins(c) {
+		return answer{}, false
+	}
 	f.loop.post(func() { f.loop.take(k) })
 	if c.leaves() {
 		select {
--- a/internal/sidecar/race_test.go
+++ b/internal/sidecar/race_test.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -133,27 +134,30 @@
 	}
 }
 
-type listenerOf struct {
+// hooked has the sidecar serve its callers through connections made by wrap.
+func hooked(wrap func(*net.TCPConn) net.Conn) func(*Sidecar) {
+	return func(s *Sidecar) { s.listener = hookedListener{s.listener, wrap} }
+}
+
+type hookedListener struct {
 	net.Listener
-	wrap func(net.Conn) net.Conn
+	wrap func(*net.TCPConn) net.Conn
 }
 
-func (l listenerOf) Accept() (net.Conn, error) {
+func (l hookedListener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
 	}
-	return l.wrap(c), nil
+	return l.wrap(c.(*net.TCPConn)), nil
 }
 
 // The read deadline that wakes a caller's goroutine for an answer must not strike the next request on the connection,
 // which may have come behind the first.
 func TestAnAnswerDoesNotEndTheNextRequest(t *testing.T) {
-	s, came := serving(t, func(s *Sidecar) {
-		s.listener = listenerOf{s.listener, func(c net.Conn) net.Conn {
-			return &heldDeadline{c, make(chan struct{}, 1), make(chan struct{}, 1)}
-		}}
-	})
+	s, came := serving(t, hooked(func(c *net.TCPConn) net.Conn {
+		return &heldDeadline{c, make(chan struct{}, 1), make(chan struct{}, 1)}
+	}))
 	c := dial(t, s)
 	for _, id := range []string{"first", "second"} {
 		c.id = id
@@ -372,3 +376,143 @@
 		}
 	}
 }
+
+// undrained runs the parts of a sidecar as Run does, for a test that drains it itself.
+func undrained(t *testing.T, f func(n int, c net.Conn, r *http.Request) bool, change func(*Sidecar)) *Sidecar {
+	t.Helper()
+	cfg := config(t, script(t, f).Addr().String())
+	cfg.Site.Settings.Classes[1].GiveUp = 60000 // its own time does not end a wait
+	s, err := New(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if change != nil {
+		change(s)
+	}
+	go s.loop.run()
+	t.Cleanup(func() { close(s.loop.ended) })
+	s.loop.post(func() { s.loop.list(cfg.Known, whinknot.ListCached) })
+	go s.front.serve(s.listener)
+	return s
+}
+
+const (
+	firstHalf  = "GET /read/x HTTP/1.1\r\nHost: b\r\nX-Class: read\r\n"
+	secondHalf = "X-Request-Id: half\r\n\r\n"
+)
+
+// comesTo sends the first half of a request and waits until the sidecar has it.
+func comesTo(t *testing.T, s *Sidecar, c *client) {
+	t.Helper()
+	io.WriteString(c, firstHalf)
+	eventually(t, "the first half", func() bool {
+		s.front.callers.mu.Lock()
+		defer s.front.callers.mu.Unlock()
+		e := s.front.callers.coming.Back()
+		return e != nil && e.Value.(*caller).RemoteAddr().String() == c.LocalAddr().String()
+	})
+}
+
+// A request that has begun to come when the sidecar closes quiet connections may be whole at any moment, and is taken
+// then: it is waited for and answered.
+func TestDrainWaitsForARequestThatComes(t *testing.T) {
+	s := undrained(t, echo, nil)
+	c := dial(t, s)
+	comesTo(t, s, c)
+	s.listener.Close()
+	drained := make(chan struct{})
+	go func() { s.front.callers.drain(time.Now().Add(long)); close(drained) }()
+	io.WriteString(c, secondHalf)
+	if res, _ := c.answer(t); res.StatusCode != 200 {
+		t.Errorf("status %d", res.StatusCode)
+	}
+	<-drained
+}
+
+// lateReader is a caller's connection whose first bytes are handed over late, as on a core that is busy: before they
+// are read, or between that and whatever is done next.
+type lateReader struct {
+	*net.TCPConn
+	late   bool
+	at, on chan struct{}
+}
+
+func (c lateReader) Read(b []byte) (n int, err error) {
+	if c.late {
+		n, err = c.TCPConn.Read(b)
+	}
+	signal(c.at)
+	<-c.on
+	if !c.late {
+		n, err = c.TCPConn.Read(b)
+	}
+	return n, err
+}
+
+// A request that has come, but that nobody has looked at yet, is not closed upon: neither in a drain nor for another
+// caller near the limit.
+func TestUnseenRequestsAreNotClosedUpon(t *testing.T) {
+	for name, end := range map[string]func(*callers){
+		"drain": func(cs *callers) {
+			cs.mu.Lock()
+			defer cs.mu.Unlock()
+			for e := cs.quiet.Front(); e != nil; e = cs.quiet.Front() {
+				cs.ask(e.Value.(*caller))
+			}
+		},
+		"limit": func(cs *callers) {
+			cs.mu.Lock()
+			defer cs.mu.Unlock()
+			cs.oneGivesWay()
+		},
+	} {
+		for _, late := range []bool{false, true} {
+			at, on := make(chan struct{}, 1), make(chan struct{})
+			s := undrained(t, echo, hooked(func(c *net.TCPConn) net.Conn { return lateReader{c, late, at, on} }))
+			c := dial(t, s)
+			c.send("GET", "read", "")
+			<-at
+			eventually(t, "the request", func() bool {
+				s.front.callers.mu.Lock()
+				defer s.front.callers.mu.Unlock()
+				e := s.front.callers.quiet.Front()
+				return e != nil && (late || e.Value.(*caller).unread())
+			})
+			end(s.front.callers)
+			close(on)
+			if res, _ := c.answer(t); res.StatusCode != 200 {
+				t.Errorf("%s, late %v: status %d", name, late, res.StatusCode)
+			}
+		}
+	}
+}
+
+// Near the limit a request that has begun to come does not give way to a new caller.
+func TestComingRequestsDoNotGiveWay(t *testing.T) {
+	s, _ := serving(t, func(s *Sidecar) { s.front.callers.most, s.front.callers.slow = 2*spareCallers, time.Hour })
+	callers := make([]*client, 2*spareCallers)
+	for i := range callers {
+		callers[i] = dial(t, s)
+		comesTo(t, s, callers[i])
+	}
+	dial(t, s).ends(t) // the new one finds no room
+	for i, c := range callers {
+		fmt.Fprintf(c, "X-Request-Id: %d\r\n\r\n", i)
+		if res, _ := c.answer(t); res.StatusCode != 200 {
+			t.Errorf("status %d", res.StatusCode)
+		}
+	}
+}
+
+// A request that is sent too slowly keeps nobody out.
+func TestSlowRequestsGiveWay(t *testing.T) {
+	s, _ := serving(t, func(s *Sidecar) { s.front.callers.most, s.front.callers.slow = 2*spareCallers, 0 })
+	for range 2 * spareCallers {
+		comesTo(t, s, dial(t, s))
+	}
+	c := dial(t, s)
+	c.send("GET", "read", "")
+	if res, _ := c.answer(t); res.StatusCode != 200 {
+		t.Errorf("status %d", res.StatusCode)
+	}
+}
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -13,6 +13,7 @@
 	"os"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -35,7 +36,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	cfg := Config{Name: "n", Listen: "127.0.0.1:0", Discovery: listen(t).Addr().String(), Sockets: 256, Site: site}
+	cfg := Config{Name: "n", Listen: "127.0.0.1:0", Discovery: nowhere(), Sockets: 256, Site: site}
 	for i, a := range addrs {
 		cfg.Known.Targets = append(cfg.Known.Targets,
 			Target{UID: fmt.Sprint("s-", i), Endpoint: a, Zone: "z", Kind: "k", State: "Ready"})
@@ -43,6 +44,16 @@
 	return cfg
 }
 
+// nowhere is the address of a discovery that answers nothing, for as long as the tests run: a sidecar may ask on for a
+// while after its test, and must not reach what another one listens with then.
+var nowhere = sync.OnceValue(func() string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		panic(err)
+	}
+	return ln.Addr().String()
+})
+
 // start runs a sidecar until the test ends.
 func start(t *testing.T, cfg Config) *Sidecar {
 	t.Helper()
@@ -52,7 +63,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	go s.Run(ctx)
-	t.Cleanup(func() { s.front.accept = 0; cancel() })
+	t.Cleanup(func() { s.discovery.move(nowhere()); s.front.accept = 0; cancel() })
 	return s
 }
 
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -422,16 +423,23 @@
 
 // stillOpen looks, without waiting, whether the peer has closed an idle connection or sent what nobody asked for.
 func stillOpen(c net.Conn) bool {
-	raw, err := c.(*net.TCPConn).SyscallConn()
+	_, err := peek(c)
+	return errors.Is(err, syscall.EAGAIN)
+}
+
+// peek tells, without waiting, how many bytes can be read: 0 without an error at the end of the stream.
+func peek(c net.Conn) (n int, err error) {
+	socket, ok := c.(syscall.Conn)
+	if !ok {
+		return 0, errors.ErrUnsupported
+	}
+	raw, err := socket.SyscallConn()
 	if err != nil {
-		return false
+		return 0, err
 	}
-	open := false
-	err = raw.Read(func(fd uintptr) bool {
+	closed := raw.Control(func(fd uintptr) { // and not Read, which waits for other readers
 		var one [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		open = errors.Is(err, syscall.EAGAIN)
-		return true
+		n, _, err = syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 	})
-	return err == nil && open
+	return n, cmp.Or(closed, err)
 }
