Let the last answer on a connection arrive before its close

Behind an answer with Connection: close, as in each drain, the connection was closed at once. With bytes of a next request unread that is a reset, and what its caller had not read of the answer was lost (test: connection reset by peer, 64 KiB to a slow reader). It ends now as an error does: its sending first, then a short wait for the caller's end. Ruled out: the write itself, which had succeeded.

--- a/internal/sidecar/front.go
+++ b/internal/sidecar/front.go
@@ -102,6 +102,7 @@
 			return
 		}
 	}
+	c.finish()
 }
 
 // complain answers what cannot be read as a request. One that falls silent or breaks off is just closed.
--- a/internal/sidecar/race_test.go
+++ b/internal/sidecar/race_test.go
@@ -504,6 +504,49 @@
 	}
 }
 
+// closer is a caller's connection that tells when the sidecar ends it, or its side of it.
+type closer struct {
+	*net.TCPConn
+	closing chan struct{}
+}
+
+func (c closer) Close() error {
+	defer signal(c.closing)
+	return c.TCPConn.Close()
+}
+
+func (c closer) CloseWrite() error {
+	defer signal(c.closing)
+	return c.TCPConn.CloseWrite()
+}
+
+// A caller sends on behind a request that is its connection's last, and reads slowly: the close, which is a reset with
+// bytes unread, must not overtake the answer.
+func TestTheLastAnswerIsNotOvertaken(t *testing.T) {
+	closing := make(chan struct{}, 1)
+	body := strings.Repeat("x", maxBody)
+	s, err := New(config(t, script(t, func(_ int, c net.Conn, _ *http.Request) bool {
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+		return true
+	}).Addr().String()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	hooked(func(c *net.TCPConn) net.Conn {
+		c.SetWriteBuffer(4 * maxBody)
+		return closer{c, closing}
+	})(s)
+	go s.Run(t.Context())
+	c := dial(t, s)
+	c.Conn.(*net.TCPConn).SetReadBuffer(4 << 10)
+	c.send("GET", "read", "", "Connection: close")
+	c.send("GET", "read", strings.Repeat("y", 16<<10))
+	<-closing
+	if res, got := c.answer(t); res.StatusCode != 200 || got != body {
+		t.Errorf("status %d, %d bytes", res.StatusCode, len(got))
+	}
+}
+
 // A request that is sent too slowly keeps nobody out.
 func TestSlowRequestsGiveWay(t *testing.T) {
 	s, _ := serving(t, func(s *Sidecar) { s.front.callers.most, s.front.callers.slow = 2*spareCallers, 0 })
