Count the connection that is accepted while the listener closes

Between Accept and its entry among the callers a connection was in no count: a drain that came there saw nothing open and the program ended, with the request lost. The drain waits for the end of accepting first. Forced by a listener that holds what it has accepted.

--- a/internal/sidecar/callers.go
+++ b/internal/sidecar/callers.go
@@ -175,6 +175,7 @@
 // drain closes what is quiet, until nothing is left or the time is up. What has begun to come may still become a
 // request, and is answered.
 func (cs *callers) drain(until time.Time) {
+	<-cs.ended // one that is accepted but not yet counted is not missed
 	for left := 1; left > 0 && time.Now().Before(until); {
 		cs.mu.Lock()
 		for e := cs.quiet.Front(); e != nil; e = cs.quiet.Front() {
--- a/internal/sidecar/race_test.go
+++ b/internal/sidecar/race_test.go
@@ -547,6 +547,43 @@
 	}
 }
 
+// acceptor is a listener that holds a connection which it has accepted.
+type acceptor struct {
+	net.Listener
+	has, goOn chan struct{}
+}
+
+func (l acceptor) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err == nil {
+		signal(l.has)
+		<-l.goOn
+	}
+	return c, err
+}
+
+// A connection that is accepted while the listener is closed is served before the program ends.
+func TestDrainCountsTheLastConnection(t *testing.T) {
+	ln := acceptor{has: make(chan struct{}, 1), goOn: make(chan struct{})}
+	s := undrained(t, echo, func(s *Sidecar) { ln.Listener = s.listener; s.listener = ln })
+	c := dial(t, s)
+	c.send("GET", "read", "")
+	<-ln.has
+	ln.Close()
+	drained := make(chan struct{})
+	go func() { s.front.callers.drain(time.Now().Add(long)); close(drained) }()
+	select {
+	case <-drained:
+		t.Error("the program would end with a request that waits")
+	case <-time.After(20 * time.Millisecond): // sound code is only held up by it
+	}
+	close(ln.goOn)
+	if res, _ := c.answer(t); res.StatusCode != 200 {
+		t.Errorf("status %d", res.StatusCode)
+	}
+	<-drained
+}
+
 // A request that is sent too slowly keeps nobody out.
 func TestSlowRequestsGiveWay(t *testing.T) {
 	s, _ := serving(t, func(s *Sidecar) { s.front.callers.most, s.front.callers.slow = 2*spareCallers, 0 })
