Refuse at once what comes after a drain has given all up

Requests that became whole after the last moment for answers were taken and sent on, and the program ended 0.15 s later with them open: lost, and work done for nobody. The loop refuses them now, with Retry-After as told.

--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -84,6 +84,7 @@
 	calls     map[uint32]*call
 	ids       map[string]*call // by the ids of their clients
 	again     []*call          // over now; each has been asked for again meanwhile
+	over      bool             // all is given up
 	lastID    uint32
 	agenda    agenda
 	timer     *time.Timer
@@ -211,6 +212,11 @@
 
 // take begins a request that has come whole.
 func (l *loop) take(c *call) {
+	if l.over {
+		c.ended = true
+		c.reply(answer{status: statusRefused, retryAfter: l.comeBack})
+		return
+	}
 	if old := l.ids[c.id]; old != nil && old.ended && old.again == nil {
 		old.again = c // what is open of it is called off and ends soon
 		c.mayRun = old.mayRun || old.open > 0
@@ -343,8 +349,9 @@
 	l.handle(&whinknot.Event{Kind: whinknot.EvGone, Request: c.event.Request})
 }
 
-// giveUpAll does so for every call, as the program must end now.
+// giveUpAll does so for every call, as the program must end now; what comes later is refused.
 func (l *loop) giveUpAll() {
+	l.over = true
 	for _, c := range l.calls {
 		l.giveUp(c)
 	}
--- a/internal/sidecar/race_test.go
+++ b/internal/sidecar/race_test.go
@@ -584,6 +584,17 @@
 	<-drained
 }
 
+// What comes after all has been given up is refused at once: what it would be sent for, nobody could answer any more.
+func TestRequestsAfterTheLastAreRefused(t *testing.T) {
+	s, came := serving(t, nil)
+	c := dial(t, s)
+	s.loop.ask(s.loop.giveUpAll)
+	c.send("POST", "pay", "1")
+	if res, _ := c.answer(t); res.StatusCode != statusRefused || res.Header.Get("Retry-After") == "" || len(came) > 0 {
+		t.Errorf("status %d, %d sent on, Retry-After %q", res.StatusCode, len(came), res.Header.Get("Retry-After"))
+	}
+}
+
 // A request that is sent too slowly keeps nobody out.
 func TestSlowRequestsGiveWay(t *testing.T) {
 	s, _ := serving(t, func(s *Sidecar) { s.front.callers.most, s.front.callers.slow = 2*spareCallers, 0 })
