Leave time to answer in a drain where deadlines are very short

With a longest deadline under 0.25 s the end of a drain lay before 0.6 s, when new connections stop: the drain returned at once, and what was given up was never posted, so open requests got no answer (the test waits in vain without the mend). Connections stop coming at the end of the drain at the latest.

--- a/internal/sidecar/front.go
+++ b/internal/sidecar/front.go
@@ -243,7 +243,7 @@
 func (f *front) drain(ln net.Listener, last time.Duration) {
 	begun := time.Now()
 	f.draining.Store(true)
-	time.Sleep(f.accept)
+	time.Sleep(min(f.accept, last)) // with short deadlines SIGKILL comes soon after
 	ln.Close()
 	time.Sleep(time.Until(begun.Add(last - f.finishing())))
 	f.ending.Store(true)
--- a/internal/sidecar/race_test.go
+++ b/internal/sidecar/race_test.go
@@ -595,6 +595,21 @@
 	}
 }
 
+// Where deadlines are so short that SIGKILL comes soon after connections stop coming, what was taken is still answered
+// before the program ends.
+func TestDrainWithShortDeadlines(t *testing.T) {
+	came, release := make(chan struct{}), make(chan struct{})
+	defer close(release)
+	s := undrained(t, func(int, net.Conn, *http.Request) bool { close(came); <-release; return false }, nil)
+	c := dial(t, s)
+	c.send("POST", "pay", "1")
+	<-came
+	s.front.drain(s.listener, 20*time.Millisecond)
+	if res, _ := c.answer(t); res.StatusCode != statusFailed {
+		t.Errorf("status %d, want a failure", res.StatusCode)
+	}
+}
+
 // A request that is sent too slowly keeps nobody out.
 func TestSlowRequestsGiveWay(t *testing.T) {
 	s, _ := serving(t, func(s *Sidecar) { s.front.callers.most, s.front.callers.slow = 2*spareCallers, 0 })
