Let a connection rest before its next request, so that no late second answer is taken for it

Endpoints in trouble answer twice, the second time some milliseconds late. The connection looked sound when the first answer was read, and one that came after the next request was written became that client's answer. A connection now rests for 30 ms. For an unsafe request, bytes that come on a used connection before its last byte send it on to another one. Ruled out: telling answers apart, as they carry no id.

--- a/internal/sidecar/race_test.go
+++ b/internal/sidecar/race_test.go
@@ -1,12 +1,14 @@
 package sidecar
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"regexp"
 	"runtime"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
@@ -622,3 +624,79 @@
 		t.Errorf("status %d", res.StatusCode)
 	}
 }
+
+// An endpoint in trouble sends an answer twice, the second a little later: it must not become the answer to the next
+// client's request. The connection rests first, and one on which more has come meanwhile is not used again.
+func TestASecondAnswerReachesNobody(t *testing.T) {
+	again, sent := make(chan struct{}), make(chan struct{})
+	ln := script(t, func(n int, c net.Conn, _ *http.Request) bool {
+		text := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n%d", n)
+		io.WriteString(c, text)
+		if n == 0 {
+			<-again
+			io.WriteString(c, text)
+			close(sent)
+		}
+		return true
+	})
+	u := pool(ln.Addr().String(), 4)
+	u.rest = time.Hour
+	serves := func(want string) {
+		t.Helper()
+		if got, a := attemptOn(u, long); got != whinknot.OK || string(a.body) != want {
+			t.Fatalf("outcome %v, answer %v, want that of connection %s", got, a, want)
+		}
+	}
+	serves("0")
+	serves("1") // the first has looked sound so far
+	close(again)
+	<-sent
+	idle := u.find(1).idle
+	eventually(t, "the second answer", func() bool { return !stillOpen(idle[0].Conn) })
+	u.rest = 0
+	serves("1")
+	slices.Reverse(idle)
+	serves("1")
+	if u.open != 1 {
+		t.Errorf("%d connections are kept, want the sound one", u.open)
+	}
+}
+
+// The last byte of an unsafe request waits for a moment. A second answer that comes on a used connection by then is
+// none to this request: it goes on another connection, and nothing has run.
+func TestASecondAnswerUnderARequest(t *testing.T) {
+	ln := listen(t)
+	go func() {
+		for n := 0; ; n++ {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { c.Close() })
+			r := bufio.NewReader(c)
+			text := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n%d", n)
+			if n > 0 {
+				io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n") // ends the look for a break
+			}
+			if _, err := http.ReadRequest(r); err != nil {
+				t.Error(err)
+			}
+			io.WriteString(c, text)
+			if n == 0 {
+				r.Peek(1)
+				io.WriteString(c, text)
+			}
+		}
+	}()
+	u := pool(ln.Addr().String(), 4)
+	if got, _ := attemptOn(u, long); got != whinknot.OK {
+		t.Fatalf("outcome %v", got)
+	}
+	u.hold = long
+	out := get()
+	out.once = true
+	got, a := u.do(newAttempt(time.Time{}), u.find(1), out, time.Now().Add(long))
+	if got != whinknot.OK || string(a.body) != "1" {
+		t.Errorf("outcome %v, answer %v, want that of the second connection", got, a)
+	}
+}
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -30,6 +30,7 @@
 	leastTrust  = 50 * time.Millisecond // nothing drops a connection for having been idle for less
 	dropTime    = 25 * time.Millisecond // a dropped connection breaks under a request this soon; later, its server failed
 	holdTime    = time.Millisecond      // for a broken connection to show: a few round trips within a data centre
+	restTime    = 30 * time.Millisecond // before a connection is used again: a second answer may come behind the first
 	regainTrust = 32                    // reuses in a row, each after longer than is trusted, that double what is trusted
 )
 
@@ -65,6 +66,7 @@
 	since   time.Time     // idle since then
 	idle    time.Duration // before it was taken; 0 = it is new
 	dropped bool          // it broke at once under a request, before any answer
+	spoilt  bool          // bytes came that can answer no request sent on it
 }
 
 // upstream owns all connections to endpoints.
@@ -72,6 +74,7 @@
 	dialTimeout, idleLimit time.Duration
 	most                   int           // connections at once
 	hold                   time.Duration // see holdTime
+	rest                   time.Duration // see restTime
 	grace                  time.Duration // from the decision on an attempt to its first byte; 0 = any
 
 	mu        sync.Mutex
@@ -86,7 +89,7 @@
 func newUpstream(l whinknot.Limits, drainGrace float64, most int) *upstream {
 	u := &upstream{
 		dialTimeout: defaultDial, idleLimit: defaultIdle, most: most, grace: millis(gracePart * drainGrace),
-		hold: holdTime, endpoints: map[uint32]*endpoint{},
+		hold: holdTime, rest: restTime, endpoints: map[uint32]*endpoint{},
 	}
 	if l.ConnectTimeout > 0 {
 		u.dialTimeout = millis(l.ConnectTimeout)
@@ -194,8 +197,8 @@
 		} else {
 			u.put(c)
 		}
-		// An idle connection that broke before the request was whole has carried no attempt: on to the next.
-		if outcome != whinknot.ConnectFailed || !c.dropped || c.idle == 0 {
+		// An idle connection that broke, or was spoilt, before the request was whole has carried no attempt: on to the next.
+		if outcome != whinknot.ConnectFailed || !c.dropped && !c.spoilt || c.idle == 0 {
 			return outcome, got
 		}
 	}
@@ -227,6 +230,10 @@
 			c.dropped = brokenOff(a, err, whinknot.Reset) == whinknot.Reset
 			return brokenOff(a, err, whinknot.ConnectFailed), nil, false
 		}
+		if c.idle > 0 && c.reader.Buffered() > 0 { // a second answer to a request before
+			c.spoilt = true
+			return whinknot.ConnectFailed, nil, false
+		}
 		whole = whole[last:]
 		c.SetDeadline(until)
 		if !a.claim() {
@@ -313,25 +320,31 @@
 	return &conn{Conn: raw, reader: bufio.NewReader(raw), home: e}, nil
 }
 
-// take pops the connection used last, so that the others can grow old. One that was idle for longer than a request
+// take pops the connection used last, so that the others can grow old. One that was used just now stays: a second
+// answer, which an endpoint in trouble may send a little behind the first, would be taken for the next client's. One that was idle for longer than a request
 // that must not run twice can trust stays for the others, which may be sent again.
 func (u *upstream) take(e *endpoint, once bool) *conn {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	n := len(e.idle) - 1
+	for n >= 0 && time.Since(e.idle[n].since) < u.rest {
+		n--
+	}
 	if n < 0 {
 		return nil
 	}
 	c := e.idle[n]
 	c.idle = time.Since(c.since)
-	if c.idle > u.idleLimit { // so are all the others: they are older
-		u.closeIdle(e)
+	if c.idle > u.idleLimit { // so are all that are older
+		for range n + 1 {
+			u.closeOldest(e)
+		}
 		return nil
 	}
 	if once && c.idle > u.trust {
 		return nil
 	}
-	e.idle[n], e.idle = nil, e.idle[:n]
+	e.idle = slices.Delete(e.idle, n, n+1)
 	return c
 }
 
--- a/internal/sidecar/upstream_test.go
+++ b/internal/sidecar/upstream_test.go
@@ -70,6 +70,7 @@
 func pool(addr string, most int) *upstream {
 	u := newUpstream(whinknot.Limits{}, 0, most)
 	u.list(1, addr, 0, whinknot.Ready)
+	u.rest = 0 // tests use connections again at once
 	return u
 }
 
