Read a watch by its objects, and have its silence seen in time to ask again

Lists may come indented, but a watch was read line by line: an indented list was a broken one, again and again. Objects are told by their braces now. A watch that was answered and then said nothing was held for alive for the 6 s that a call may wait; and 4.5 s of silence, with the module's first back-off of 0.5 to 1.5 s and a call, end after the 6 s from which the change counts as told. The protocol gives both figures (a beat each 2 s, told after 6 s): silence is 3 s, an answer is waited for 4 s. Only whole objects and line ends between them are signs of life, so a trickle is none.

--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"cmp"
 	"context"
 	"encoding/json"
@@ -23,12 +22,14 @@
 )
 
 const (
-	watchSilence = 4500 * time.Millisecond // a watch beats every 2 s: after two missed beats it is dead
-	callTime     = 6 * time.Second         // longest wait for a call's turn
+	// What a silent watch misses counts as told 6 s later, and what it takes to have another one answered is the
+	// module's first back-off, up to 1.5 s, and the call. A watch beats every 2 s.
+	watchSilence = 3 * time.Second // after which it is dead
+	callTime     = 4 * time.Second // longest wait for a call's turn, for the same reason
 	dialList     = 2 * time.Second
 	backoffFirst = 200 * time.Millisecond // between watches of an agent that pushes; doubles, with jitter
 	backoffMost  = 3 * time.Second
-	maxLine      = 8 << 20 // bytes of one line of a watch
+	maxObject    = 8 << 20 // bytes of one object of a watch
 )
 
 // List is what discovery tells: a whole list or changes.
@@ -124,6 +125,7 @@
 // A newer watch takes over from an older one as soon as it is answered, so that a move leaves no gap.
 type discovery struct {
 	silence time.Duration // after which a watch is dead
+	call    time.Duration // longest wait for an answer; 0 = callTime
 	tell    func(List)    // a list or a change came
 	failed  func()        // the latest call failed or its watch broke
 
@@ -222,7 +224,7 @@
 	if err != nil {
 		return err
 	}
-	c.SetDeadline(time.Now().Add(callTime))
+	c.SetDeadline(time.Now().Add(cmp.Or(d.call, callTime)))
 	if err := req.Write(c); err != nil {
 		return err
 	}
@@ -236,15 +238,13 @@
 	if err := hear(func() {}); err != nil {
 		return err
 	}
-	lines := bufio.NewScanner(res.Body)
-	lines.Buffer(make([]byte, 0, 1<<14), maxLine)
-	for lines.Scan() {
-		c.SetDeadline(time.Now().Add(d.silence))
-		line := bytes.TrimSpace(lines.Bytes())
-		if len(line) == 0 {
-			continue
+	objects := &objects{r: bufio.NewReader(res.Body), alive: func() { c.SetDeadline(time.Now().Add(d.silence)) }}
+	for objects.alive(); ; {
+		text, err := objects.next()
+		if err != nil {
+			return err
 		}
-		l, err := ParseList(line)
+		l, err := ParseList(text)
 		if err != nil {
 			return fmt.Errorf("list: %w", err)
 		}
@@ -252,5 +252,51 @@
 			return err
 		}
 	}
-	return cmp.Or(lines.Err(), io.EOF)
+}
+
+// objects splits a watch into its JSON objects. Each stands on a line of its own, or on several if it is indented, so
+// the braces tell where it ends. Whole objects, and line ends between them, are signs of life; a part of one is none,
+// or a watch that trickles would never be taken for dead.
+type objects struct {
+	r     *bufio.Reader
+	alive func()
+}
+
+var errNoObject = errors.New("list: no JSON object")
+
+// next reads up to the end of the next object.
+func (o *objects) next() ([]byte, error) {
+	var text []byte
+	for depth, quoted, escaped := 0, false, false; ; {
+		b, err := o.r.ReadByte()
+		switch {
+		case err != nil:
+			return nil, err
+		case depth == 0 && b == '\n':
+			o.alive()
+			continue
+		case depth == 0 && (b == ' ' || b == '\t' || b == '\r'):
+			continue
+		case depth == 0 && b != '{':
+			return nil, errNoObject
+		case len(text) == maxObject:
+			return nil, errTooLong
+		}
+		text = append(text, b)
+		switch {
+		case escaped:
+			escaped = false
+		case quoted:
+			escaped, quoted = b == '\\', b != '"'
+		case b == '"':
+			quoted = true
+		case b == '{':
+			depth++
+		case b == '}':
+			if depth--; depth == 0 {
+				o.alive()
+				return text, nil
+			}
+		}
+	}
 }
--- a/internal/sidecar/race_test.go
+++ b/internal/sidecar/race_test.go
@@ -700,3 +700,67 @@
 		t.Errorf("outcome %v, answer %v, want that of the second connection", got, a)
 	}
 }
+
+// Lists may come indented, several on a line, and with braces in their strings.
+func TestListsInAnyForm(t *testing.T) {
+	told := make(chan List, 10)
+	d := &discovery{silence: long, tell: func(l List) { told <- l }, failed: func() {}}
+	d.addr = script(t, func(_ int, c net.Conn, _ *http.Request) bool {
+		io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\n\n{\n  \"rev\": 1,\n\n  \"all\": true,\n  \"targets\": [\n    {\n      "+
+			"\"uid\": \"}\\\"{\",\r\n\t\"endpoint\": \"127.0.0.1:1\", \"state\": \"Ready\"}\n  ]\n}\n\n {\"rev\":2} {\"rev\":3}\n")
+		return false
+	}).Addr().String()
+	d.once(t.Context())
+	close(told)
+	rev := int64(0)
+	for l := range told {
+		if rev++; l.Rev != rev || rev == 1 && (len(l.Targets) != 1 || l.Targets[0].UID != "}\"{") {
+			t.Errorf("list %+v", l)
+		}
+	}
+	if rev != 3 {
+		t.Errorf("%d lists, want 3", rev)
+	}
+}
+
+// A watch that is answered but then says nothing is dead as soon as one that fell silent later: before its first
+// object, within one, and also while bytes of one trickle in.
+func TestSilenceFromTheStart(t *testing.T) {
+	for name, f := range map[string]func(net.Conn){
+		"before the first object": func(net.Conn) {},
+		"within one":              func(c net.Conn) { io.WriteString(c, "{\n\"rev\":") },
+		"trickling": func(c net.Conn) {
+			for c.SetWriteDeadline(time.Now().Add(2 * long)); ; time.Sleep(time.Millisecond) {
+				if _, err := io.WriteString(c, "{\n"); err != nil {
+					return
+				}
+			}
+		},
+	} {
+		done := make(chan struct{})
+		d := &discovery{silence: 30 * time.Millisecond, call: time.Hour, tell: func(List) {}, failed: func() {}}
+		d.addr = script(t, func(_ int, c net.Conn, _ *http.Request) bool {
+			io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\n")
+			f(c)
+			<-done
+			return false
+		}).Addr().String()
+		ended := make(chan struct{})
+		go func() { d.once(t.Context()); close(ended) }()
+		select {
+		case <-ended:
+		case <-time.After(long):
+			t.Errorf("%s: the watch is held for alive", name)
+		}
+		close(done)
+	}
+}
+
+// What is missed by a silent watch counts as told 6 s after: by then it has to be noticed, the module's first back-off
+// has to be over, and a call answered.
+func TestSilenceLeavesTimeToAskAgain(t *testing.T) {
+	const told, backOff, answered = 6 * time.Second, 1500 * time.Millisecond, 500 * time.Millisecond
+	if watchSilence+backOff+answered > told || callTime+backOff+answered > told {
+		t.Errorf("silence shows after %v and %v", watchSilence, callTime)
+	}
+}
