Give calls that come ahead of the first list room as soon as there is one

The room was revised at the first event. With no list yet that gave 0 places, which stood for 1 s: every call of a process that was asked before its list came was held that long, and refused with 503 past its aim (test of a pushed list, status 503 after 1.01 s, in 1 of some 100 starts). A list finds the room unset now and revises it. Ruled out: credit and the queue's bound, which let such calls pass.

--- a/balancer.go
+++ b/balancer.go
@@ -1049,6 +1049,9 @@
 	maps.DeleteFunc(b.byID, func(_ uint32, s *server) bool { return !s.listed && s.out == 0 && !s.asked })
 	b.recount()
 	b.firstRoom = max(heldLeast, heldFirst*float64(len(b.live))/float64(b.set.Copies))
+	if b.room == 0 {
+		b.roomAt = b.now // calls that came ahead of the first list must not wait for the next revision
+	}
 	b.assignHomes()
 }
 
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -1453,3 +1453,19 @@
 		}
 	}
 }
+
+// Calls that come ahead of the first list, as to a new process, go out as soon as there is one.
+func TestCallsAheadOfTheFirstList(t *testing.T) {
+	b, err := New(plain(), 7, 1000)
+	if err != nil {
+		t.Fatal(err)
+	}
+	h := &harness{t: t, b: b, now: 1000}
+	if acts := h.request(1, 0); len(acts) != 0 {
+		t.Fatalf("%v without a list", acts)
+	}
+	h.now += 10
+	if acts := h.do(Event{Kind: EvList, List: ListFull, Servers: ids(4)}); len(acts) != 1 || acts[0].Kind != ActSend {
+		t.Errorf("%v, want the call sent", acts)
+	}
+}
