Wait for the agent's first word before sending by the list of before, and ask it soon again

Where lists are pushed, what the agent has counts as told from the first moment of a process and as soon as discovery is back, whether or not a watch is open. The program sent by the list of before until the watch was answered, so a new process could send to a server long told to drain; and after some failures it let up to 4.5 s pass between watches, more than any drain's grace. Changes told first are carried out on the old list before anything is sent, for 1 s at most, then that has to do; a watch is tried again 0.1 to 0.3 s after one failed, and an agent nearby has 0.5 s to answer. Forced by a test with an agent that is slow or silent. The unit tests start with no such wait; TestProgram, whose agent is nowhere, waits for ready as the platform does.

--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -27,9 +27,12 @@
 	watchSilence = 3 * time.Second // after which it is dead
 	callTime     = 4 * time.Second // longest wait for a call's turn, for the same reason
 	dialList     = 2 * time.Second
-	backoffFirst = 200 * time.Millisecond // between watches of an agent that pushes; doubles, with jitter
-	backoffMost  = 3 * time.Second
-	maxObject    = 8 << 20 // bytes of one object of a watch
+	// What an agent that pushes has counts as told at once, whether or not a watch is open: it is nearby, and serves at
+	// once or not at all.
+	agentTime  = 500 * time.Millisecond // longest wait for its answer
+	agentPause = 200 * time.Millisecond // between watches on it, give or take a half
+	agentFirst = time.Second            // after which a new process makes do with the list that it was started with
+	maxObject  = 8 << 20                // bytes of one object of a watch
 )
 
 // List is what discovery tells: a whole list or changes.
@@ -72,6 +75,18 @@
 	return l, nil
 }
 
+// changed is a list with changes carried out.
+func (l List) changed(by List) List {
+	all := List{Rev: by.Rev, All: true}
+	for _, t := range slices.Concat(l.Targets, by.Targets) {
+		all.Targets = slices.DeleteFunc(all.Targets, func(old Target) bool { return old.UID == t.UID })
+		if t.State != "Gone" {
+			all.Targets = append(all.Targets, t)
+		}
+	}
+	return all
+}
+
 // directory gives servers their ids. A uid hashes to the same id at every sidecar, as the module's share-out
 // of servers over copies needs; only of two that collide, one gets another id.
 type directory struct {
@@ -154,27 +169,18 @@
 	d.takes++
 	take := d.takes
 	d.mu.Unlock()
-	wait := backoffFirst
-	for rev, latest := d.held(take); latest && ctx.Err() == nil; _, latest = d.held(take) {
+	for latest := true; latest && ctx.Err() == nil; {
 		d.once(ctx)
-		if now, _ := d.held(take); now != rev {
-			wait, rev = backoffFirst, now
-		}
 		select {
-		case <-time.After(wait/2 + rand.N(wait)):
+		case <-time.After(agentPause/2 + rand.N(agentPause)):
 		case <-ctx.Done():
 		}
-		wait = min(2*wait, backoffMost)
+		d.mu.Lock()
+		latest = take == d.takes
+		d.mu.Unlock()
 	}
 }
 
-// held returns the version of the list held, and whether that follow is the latest.
-func (d *discovery) held(take int) (int64, bool) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.rev, take == d.takes
-}
-
 // once watches until the watch ends, and reports that unless a later watch has been begun meanwhile.
 func (d *discovery) once(ctx context.Context) {
 	ctx, cancel := context.WithCancel(ctx)
@@ -212,7 +218,7 @@
 
 // watch makes one call and passes on what comes, through hear; it returns when the watch is over.
 func (d *discovery) watch(ctx context.Context, addr string, rev int64, hear func(func()) error) error {
-	dialer := net.Dialer{Timeout: dialList}
+	dialer := net.Dialer{Timeout: min(dialList, cmp.Or(d.call, callTime))}
 	c, err := dialer.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return err
--- a/internal/sidecar/front_test.go
+++ b/internal/sidecar/front_test.go
@@ -22,6 +22,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	s.patience = 0
 	if change != nil {
 		change(s)
 	}
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -85,6 +85,7 @@
 	ids       map[string]*call // by the ids of their clients
 	again     []*call          // over now; each has been asked for again meanwhile
 	over      bool             // all is given up
+	known     *List            // the list of before, until the first one comes
 	lastID    uint32
 	agenda    agenda
 	timer     *time.Timer
@@ -359,6 +360,10 @@
 
 // list hears what discovery tells.
 func (l *loop) list(list List, kind whinknot.ListKind) {
+	if l.known != nil && kind == whinknot.ListDelta {
+		list, kind = l.known.changed(list), whinknot.ListFull
+	}
+	l.known = nil
 	ev := whinknot.Event{Kind: whinknot.EvList, List: kind}
 	whole := kind != whinknot.ListDelta
 	before := l.listed
@@ -393,6 +398,13 @@
 	l.handle(&ev)
 }
 
+// useKnown makes do with the list of before.
+func (l *loop) useKnown() {
+	if l.known != nil {
+		l.list(*l.known, whinknot.ListCached)
+	}
+}
+
 // listFailed hears that a call to discovery failed or its watch broke.
 func (l *loop) listFailed() {
 	l.handle(&whinknot.Event{Kind: whinknot.EvList, List: whinknot.ListFailed})
--- a/internal/sidecar/race_test.go
+++ b/internal/sidecar/race_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -40,6 +41,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	s.patience = 0
 	defer close(s.loop.ended)
 	s.Move(listen(t).Addr().String())
 	s.Move(cfg.Discovery)
@@ -388,6 +390,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	s.patience = 0
 	if change != nil {
 		change(s)
 	}
@@ -534,6 +537,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	s.patience = 0
 	hooked(func(c *net.TCPConn) net.Conn {
 		c.SetWriteBuffer(4 * maxBody)
 		return closer{c, closing}
@@ -764,3 +768,61 @@
 		t.Errorf("silence shows after %v and %v", watchSilence, callTime)
 	}
 }
+
+// A new process has an old list, and the agent knows of a drain since: what is asked for before its first word must not
+// go to the server that drains. With no word at all the old list has to do.
+func TestTheOldListWaitsForTheAgent(t *testing.T) {
+	for silent, want := range map[bool]string{false: "other", true: "either"} {
+		came, tell, done := make(chan string, 10), make(chan struct{}), make(chan struct{})
+		serve := func(name string) string {
+			return script(t, func(n int, c net.Conn, r *http.Request) bool {
+				came <- name
+				return echo(n, c, r)
+			}).Addr().String()
+		}
+		cfg := config(t, serve("draining"), serve("other"))
+		cfg.Site.Settings.Classes[0].GiveUp, cfg.Site.Settings.Classes[0].Aim = 20000, 20000
+		draining := cfg.Known.Targets[0]
+		draining.State = "Terminating"
+		cfg.Discovery = discover(t, func(_ string, f func(List), _ func()) {
+			<-tell
+			f(List{Rev: 2, Targets: []Target{draining}})
+			<-done
+		})
+		s, err := New(cfg)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if s.discovery.call = long; !silent {
+			s.patience = time.Hour
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		go s.Run(ctx)
+		callers := make([]*client, 4)
+		for i := range callers {
+			callers[i] = dial(t, s)
+			callers[i].id = fmt.Sprint(i)
+			callers[i].send("GET", "read", "")
+		}
+		if !silent {
+			eventually(t, "requests that wait", func() (all bool) {
+				s.loop.ask(func() { all = len(s.loop.calls) == len(callers) })
+				return all
+			})
+			close(tell)
+		}
+		for _, c := range callers {
+			if res, _ := c.answer(t); res.StatusCode != 200 {
+				t.Errorf("status %d", res.StatusCode)
+			}
+		}
+		for range callers {
+			if at := <-came; want == "other" && at != want {
+				t.Errorf("a request went to the server that drains")
+			}
+		}
+		s.discovery.move(nowhere())
+		cancel()
+		close(done)
+	}
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -42,7 +42,8 @@
 	front     *front
 	discovery *discovery
 	listener  net.Listener
-	callers   int // connections that callers may hold
+	callers   int           // connections that callers may hold
+	patience  time.Duration // see agentFirst
 }
 
 // New checks what the sidecar is told and opens its listener; requests wait there until Run.
@@ -65,6 +66,9 @@
 		},
 		failed: func() { s.loop.post(s.loop.listFailed) },
 	}
+	if !set.ListOnRequest {
+		s.discovery.call, s.patience = agentTime, agentFirst
+	}
 	s.front = newFront(s.loop, set, s.callers)
 	if s.listener, err = net.Listen("tcp", cfg.Listen); err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
@@ -78,8 +82,14 @@
 	defer stop()
 	defer close(s.loop.ended)
 	s.loop.watch = func() { go s.discovery.once(watching) }
-	s.loop.post(func() { s.loop.list(s.cfg.Known, whinknot.ListCached) }) // ahead of what the watch tells
-	if !s.cfg.Site.Settings.ListOnRequest {
+	if s.cfg.Site.Settings.ListOnRequest {
+		s.loop.post(func() { s.loop.list(s.cfg.Known, whinknot.ListCached) }) // ahead of what the watch tells
+	} else {
+		// What the agent has counts as told from the first moment on. So nothing is sent by the list of before until
+		// the agent has changed it, or has said nothing for too long.
+		s.loop.known = &s.cfg.Known
+		first := time.AfterFunc(s.patience, func() { s.loop.post(s.loop.useKnown) })
+		defer first.Stop()
 		s.loop.watch = func() { go s.discovery.follow(watching) }
 		s.loop.watch()
 	}
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -61,6 +61,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	s.patience = 0
 	ctx, cancel := context.WithCancel(context.Background())
 	go s.Run(ctx)
 	t.Cleanup(func() { s.discovery.move(nowhere()); s.front.accept = 0; cancel() })
@@ -326,6 +327,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	s.patience = 0
 	s.front.accept = 2 * time.Second // for a test on a busy machine
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error)
@@ -365,6 +367,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	s.patience = 0
 	go s.loop.run()
 	s.loop.post(func() { s.loop.list(cfg.Known, whinknot.ListCached) })
 	go s.front.serve(s.listener)
@@ -399,6 +402,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	s.patience = 0
 	s.front.quiet = time.Hour // which would end them too, but late
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
