Serve a request found on a connection that is asked to give way, though its time is up

The deadline is lifted for bytes that are there. Beside it: a connection spoilt by a second answer no longer counts as a sound reuse.

--- a/internal/sidecar/callers.go
+++ b/internal/sidecar/callers.go
@@ -145,8 +145,8 @@
 		c.SetReadDeadline(time.Unix(1, 0))
 	}
 	_, err := c.reader.Peek(1)
-	for err != nil && cs.isAsked(c) && c.unread() {
-		c.SetReadDeadline(by)
+	if err != nil && cs.isAsked(c) && c.unread() {
+		c.SetReadDeadline(time.Time{}) // they are there, also if their time is up
 		_, err = c.reader.Peek(1)
 	}
 	return err == nil && cs.goOn(c, cs.coming)
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -191,7 +191,9 @@
 		}
 		stop := context.AfterFunc(a.ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
 		outcome, got, keep := exchange(a, c, out, until, u.hold)
-		u.reused(c.idle, c.dropped)
+		if !c.spoilt {
+			u.reused(c.idle, c.dropped)
+		}
 		if !stop() || !keep {
 			u.discard(c)
 		} else {
