Answer a request that waits for its left copy when a drain gives all up

giveUpAll went over the calls that were taken; one that waits for the end of a left copy of itself is in none, and would have had no answer before the program ended. Forced by a test that holds the copy open.

--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -354,6 +354,9 @@
 func (l *loop) giveUpAll() {
 	l.over = true
 	for _, c := range l.calls {
+		if c.again != nil {
+			l.giveUp(c.again)
+		}
 		l.giveUp(c)
 	}
 }
--- a/internal/sidecar/race_test.go
+++ b/internal/sidecar/race_test.go
@@ -342,6 +342,25 @@
 	}
 }
 
+// All is given up while a request waits for the end of its left copy: it is answered too.
+func TestGivingUpReachesARequestThatCameAgain(t *testing.T) {
+	s := undrained(t, echo, nil)
+	statuses := make(chan int, 2)
+	request := func() *call {
+		return &call{id: "id", event: whinknot.Event{Due: s.loop.now() + 1e6}, reply: func(a answer) { statuses <- a.status }}
+	}
+	old := request()
+	s.loop.ask(func() {
+		old.ended, old.open = true, 1
+		s.loop.ids["id"], s.loop.calls[9] = old, old
+		s.loop.take(request())
+		s.loop.giveUpAll()
+	})
+	if len(statuses) != 1 || <-statuses != statusFailed {
+		t.Error("it was not answered, or not as one that may have run")
+	}
+}
+
 // A client leaves and asks once more under the same id, on another connection, while the attempt for it is being
 // called off. It is served if that is safe or nothing can have run, and fails otherwise: it must not run twice, and
 // it is not another request's id that it uses.
@@ -472,8 +491,15 @@
 		},
 	} {
 		for _, late := range []bool{false, true} {
+			quiet := time.Hour
+			if !late {
+				quiet = time.Nanosecond // its time is up as well
+			}
 			at, on := make(chan struct{}, 1), make(chan struct{})
-			s := undrained(t, echo, hooked(func(c *net.TCPConn) net.Conn { return lateReader{c, late, at, on} }))
+			s := undrained(t, echo, func(s *Sidecar) {
+				s.front.quiet = quiet
+				hooked(func(c *net.TCPConn) net.Conn { return lateReader{c, late, at, on} })(s)
+			})
 			c := dial(t, s)
 			c.send("GET", "read", "")
 			<-at
