Test a move that fails and files that change more than discovery; dial without haste in one

A move to an address that refuses keeps the old watch heard. A SIGHUP whose file is cut in half changes nothing; one that changes other limits too moves discovery only.

--- a/cmd/milletmast/main_test.go
+++ b/cmd/milletmast/main_test.go
@@ -80,6 +80,8 @@
 	logged(t, lines, `(serving)`)
 	for _, c := range []struct{ text, signs string }{
 		{"{", `(configuration kept)`},
+		{good[:len(good)/2], `(configuration kept)`},
+		{strings.NewReplacer("127.0.0.1:8500", "127.0.0.1:8503", `"sockets":`, `"sockets":1`).Replace(good), `discovery moves.* addr=(127.0.0.1:8503)`},
 		{strings.Replace(good, "127.0.0.1:8500", "127.0.0.1:8501", 1), `discovery moves.* addr=(127.0.0.1:8501)`},
 		{strings.Replace(good, "127.0.0.1:8500", "127.0.0.1:8502", 1), `discovery moves.* addr=(127.0.0.1:8502)`},
 	} {
--- a/internal/sidecar/race_test.go
+++ b/internal/sidecar/race_test.go
@@ -807,6 +807,7 @@
 			}).Addr().String()
 		}
 		cfg := config(t, serve("draining"), serve("other"))
+		cfg.Site.Settings.Limits.ConnectTimeout = float64(long.Milliseconds()) // also on a busy machine
 		cfg.Site.Settings.Classes[0].GiveUp, cfg.Site.Settings.Classes[0].Aim = 20000, 20000
 		draining := cfg.Known.Targets[0]
 		draining.State = "Terminating"
@@ -852,3 +853,32 @@
 		close(done)
 	}
 }
+
+// Discovery moves to where nothing answers: the watch on the old address is listened to on, and the failure is told, so
+// that the module asks again.
+func TestAFailingMoveKeepsTheOldWatch(t *testing.T) {
+	next, told, failed := make(chan int64), make(chan int64, 10), make(chan struct{}, 10)
+	d := &discovery{silence: long, rev: 1, tell: func(l List) { told <- l.Rev }, failed: func() { failed <- struct{}{} }}
+	d.addr = script(t, func(_ int, c net.Conn, _ *http.Request) bool {
+		io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\n")
+		for rev := range next {
+			fmt.Fprintf(c, "{\"rev\":%d}\n", rev)
+		}
+		return false
+	}).Addr().String()
+	go d.once(t.Context())
+	next <- 2
+	if rev := <-told; rev != 2 {
+		t.Fatalf("version %d", rev)
+	}
+	refusing := listen(t)
+	refusing.Close()
+	d.move(refusing.Addr().String())
+	d.once(t.Context())
+	<-failed
+	next <- 3
+	if rev := <-told; rev != 3 {
+		t.Errorf("version %d after the failed move", rev)
+	}
+	close(next)
+}
