--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -30,7 +30,7 @@
 	leastTrust  = 50 * time.Millisecond // nothing drops a connection for having been idle for less
 	dropTime    = 25 * time.Millisecond // a dropped connection breaks under a request this soon; later, its server failed
 	holdTime    = time.Millisecond      // for a broken connection to show: a few round trips within a data centre
-	restTime    = 30 * time.Millisecond // before a connection is used again: a second answer may come behind the first
+	restTime    = 10 * time.Millisecond // before a connection is used again: a second answer comes some ms behind the first
 	regainTrust = 32                    // reuses in a row, each after longer than is trusted, that double what is trusted
 )
 
