--- a/api.go
+++ b/api.go
@@ -1,4 +1,4 @@
-package whinknot
+package forkline
 
 import (
 	"fmt"
--- a/balancer.go
+++ b/balancer.go
@@ -1,9 +1,9 @@
 // The interface of this module, its Settings, Events and Actions, is in api.go.
 
-// Package whinknot decides, for one copy of a balancer, which server gets which call. It is sans-I/O: New
+// Package forkline decides, for one copy of a balancer, which server gets which call. It is sans-I/O: New
 // makes a Balancer and Handle turns each event into actions. The mechanism is SMACE's (Kim and Schulzrinne)
 // with our additions; docs/design.md tells the two apart.
-package whinknot
+package forkline
 
 import (
 	"cmp"
@@ -14,52 +14,52 @@
 )
 
 const ( // times are milliseconds, shares have no unit
-	revisePeriod  = 10000.0 // paper, VI-C: the load of a server is revised every 10 s
-	cutTo         = 0.9     // paper, VI-C: over threshold, load becomes this share of goodput
-	windowTime    = 1000.0  // paper, IV-A: latency statistics cover one second
-	windowSamples = 20      // fewest samples whose second largest is a p95
-	ringSize      = 32      // samples kept for each server; a little over a window
-	poolSize      = 128     // samples kept of the tier, to fill sparse windows
-	tail          = 0.95    // paper, IV-A: the percentile that is held under the threshold
-	thresholdPart = 0.7     // threshold as a share of the class aim; leaves room for waiting
-	creditTime    = 100.0   // credit is kept for this time: with more, old credit outweighs calls out
-	headroom      = 2.0     // load over the demand or goodput that was seen; room for bursts
-	floorPart     = 0.05    // a cut server keeps this share of the mean load, for trial calls
-	failRatio     = 2.0     // how far over threshold a failure counts
-	runLimit      = 2.5     // failures in a run, goods leaking away, that cut a server at once
-	runLeak       = 0.25    // one good answer takes this much of a run away
-	trialGoods    = 3       // good trial calls in a row that make a cut server unmeasured
-	shedOver      = 1.2     // ratio of p95 to threshold at which the front sheds: tails alone pass 1
-	sharedPart    = 0.4     // part of the tier in trouble from which the cause is held to be shared
-	coldPart      = 0.7     // part of its present share that a cold server is given at most
-	demandTime    = 2000.0  // time constant of the demand average
-	queuePart     = 0.3     // longest wait in the queue, as a share of the mean aim
-	overRoom      = 0.5     // part of the room that a dense copy's calls beyond a quota may find taken
-	quotaBurst    = 2000.0  // a tenant may run ahead of its quota by this time's worth
-	repeatShare   = 0.1     // retry budget where none is told: repeats of what may have run, per request
-	repeatFree    = 5.0     // and how many more of them
-	repeatWindow  = 10000.0 // within this time
-	latencyGain   = 0.05    // weight of a new answer in a class's mean latency
-	servedGain    = 0.005   // and of a call in the served part of its class, which the goal counts by the day
-	paceWeight    = 7.0     // a server's mean answer over the tier's, against its share of credit left
-	patience      = 6.0     // mean answers of its class that a call waits for a server that says nothing
-	probeCount    = 3       // servers asked for each call where probes are all but free
-	probePrice    = 0.02    // dearest: points of the goal for a probe of each choice at every tier
-	askMost       = 3       // times that a call asks, while those asked hold more than the mean
-	lostPart      = 0.05    // part of attempts without a connection past which open ones are kept to
-	lostTries     = 20      // draws for a server with an open connection to ask
-	probeWait     = 0.05    // share of its threshold that a call waits for answers, and they count
-	probeAgain    = 0.15    // share of the longest threshold after which a waiting call asks others
-	heldHome      = 2.0     // calls that a server's own copies have out there before they go elsewhere
-	heldFirst     = 5.0     // calls a server is taken to hold at once, over all copies, till measured
-	heldLeast     = 2.0     // and a copy at least: with one call at a time a sparse copy measures nothing
-	waitOver      = 1.3     // the front sheds only for waiting: answers take so many times the least mean
-	calmDrift     = 0.005   // and that least mean forgets by this share a second
-	wakeLeast     = 5.0     // shortest timer, so that waiting calls cost little CPU
-	wakeMost      = 20.0    // longest timer while calls wait
-	comeBack      = 1000.0  // a refused client is asked back then: answers have been measured anew
-	askSpread     = 0.3     // first call to the list is spread over this share of AskEvery
-	askBackoff    = 1000.0  // first wait after a failed call to the list; doubles, with jitter
+	revisePeriod    = 10000.0 // paper, VI-C: the load of a server is revised every 10 s
+	decreaseTo      = 0.9     // paper, VI-C: over threshold, load becomes this share of goodput
+	windowTime      = 1000.0  // paper, IV-A: latency statistics cover one second
+	windowSamples   = 20      // fewest samples whose second largest is a p95
+	ringSize        = 32      // samples kept for each server; a little over a window
+	poolSize        = 128     // samples kept of the tier, to fill sparse windows
+	tail            = 0.95    // paper, IV-A: the percentile that is held under the threshold
+	thresholdPart   = 0.7     // threshold as a share of the class aim; leaves room for waiting
+	creditTime      = 100.0   // credit is kept for this time: with more, old credit outweighs calls out
+	headroom        = 2.0     // load over the demand or goodput that was seen; room for bursts
+	floorPart       = 0.05    // an ejected server keeps this share of the mean load, for trial calls
+	failRatio       = 2.0     // how far over threshold a failure counts
+	runLimit        = 2.5     // failures in a run, goods leaking away, that eject a server at once
+	runLeak         = 0.25    // one good answer takes this much of a run away
+	trialGoods      = 3       // good trial calls in a row that make an ejected server unmeasured
+	shedOver        = 1.2     // ratio of p95 to threshold at which the front sheds: tails alone pass 1
+	sharedPart      = 0.4     // part of the tier in trouble from which the cause is held to be shared
+	coldPart        = 0.7     // part of its present share that a cold server is given at most
+	demandTime      = 2000.0  // time constant of the demand average
+	queuePart       = 0.3     // longest wait in the queue, as a share of the mean aim
+	overQuotaPart   = 0.5     // part of the limit that a dense copy's calls beyond a quota may find taken
+	quotaBurst      = 2000.0  // a tenant may run ahead of its quota by this time's worth
+	repeatShare     = 0.1     // retry budget where none is told: repeats of what may have run, per request
+	repeatFree      = 5.0     // and how many more of them
+	repeatWindow    = 10000.0 // within this time
+	latencyGain     = 0.05    // weight of a new answer in a class's mean latency
+	servedGain      = 0.005   // and of a call in the served part of its class, which the goal counts daily
+	latencyWeight   = 7.0     // a server's mean answer over the tier's, against its share of credit left
+	tryTimeoutMeans = 6.0     // mean answers of its class that a call waits for a server that says nothing
+	probeCount      = 3       // servers asked for each call where probes are all but free
+	probePrice      = 0.02    // dearest: points of the goal for a probe of each choice at every tier
+	askMost         = 3       // times that a call asks, while those asked hold more than the mean
+	lostPart        = 0.05    // part of attempts without a connection past which open ones are kept to
+	lostTries       = 20      // draws for a server with an open connection to ask
+	probeWait       = 0.05    // share of its threshold that a call waits for answers, and they count
+	probeAgain      = 0.15    // share of the longest threshold after which a waiting call asks others
+	subsetHeld      = 2.0     // calls that a server's own copies have out there before they go elsewhere
+	heldFirst       = 5.0     // calls a server is taken to hold at once, over all copies, till measured
+	heldLeast       = 2.0     // and a copy at least: with one call at a time a sparse copy measures nothing
+	waitOver        = 1.3     // the front sheds only for waiting: answers take so many times the least mean
+	leastDrift      = 0.005   // and that least mean forgets by this share a second
+	wakeLeast       = 5.0     // shortest timer, so that waiting calls cost little CPU
+	wakeMost        = 20.0    // longest timer while calls wait
+	comeBack        = 1000.0  // a refused client is asked back then: answers have been measured anew
+	askSpread       = 0.3     // first call to the list is spread over this share of AskEvery
+	askBackoff      = 1000.0  // first wait after a failed call to the list; doubles, with jitter
 )
 
 // sample is one outcome at a server: latency as a ratio to its class's threshold.
@@ -72,11 +72,11 @@
 	linked            bool    // it answered since a connection last failed
 	asked             bool    // a probe is out
 	held, heldAt      float64 // calls it holds, as it told a probe, and when
-	home              float64 // part of this server that is this copy's own
+	subsetShare       float64 // part of this server that is this copy's own
 	cold              bool
 	measured          bool // has a load of its own; others take the mean
-	cut               bool // at the floor since a run of failures
-	silent            bool // it said nothing for too long, with calls out: they leave the room to others
+	ejected           bool // at the floor since a run of failures
+	silent            bool // it said nothing for too long, with calls out: the limit is for others
 	out, streams      int  // attempts sent and not ended; those of them whose answer has begun
 	load, maxLoad     float64
 	credit, accruedAt float64
@@ -85,21 +85,23 @@
 	closeAt           float64 // it drains: idle connections are closed once more then; 0 = not
 	reviseAt, since   float64 // next revision, and since when good is counted
 	run               float64 // failures in a run
-	good, goods       int     // good answers since then, and in a row since the cut
+	good, goods       int     // good answers since then, and in a row since the ejection
 	samples           [ringSize]sample
 	count             int     // samples ever taken
-	pace              float64 // mean ratio of its answers; 0 = none yet
-	crowd             float64 // mean number of calls out there, with each of these
+	meanLatency       float64 // mean ratio of its answers; 0 = none yet
+	meanConcurrency   float64 // mean number of calls out there, with each of these
 }
 
 func (s *server) ready() bool { return s.listed && s.State == Ready }
 
-// expected is the ratio that one more call should meet: its pace is that of calls sent a while ago, and
-// follows what it holds now too late.
-func (s *server) expected() float64 { return s.pace * math.Sqrt(float64(s.out+1)/max(s.crowd, 1)) }
+// expected is the ratio that one more call should meet: its mean latency is that of calls sent a while
+// ago, and follows what it holds now too late.
+func (s *server) expected() float64 {
+	return s.meanLatency * math.Sqrt(float64(s.out+1)/max(s.meanConcurrency, 1))
+}
 
-// serves tells whether the room is for this server too.
-func (s *server) serves() bool { return s.ready() && !s.cut && !s.silent }
+// serves tells whether the concurrency limit counts this server too.
+func (s *server) serves() bool { return s.ready() && !s.ejected && !s.silent }
 
 // attempt is one send of a request.
 type attempt struct {
@@ -111,8 +113,8 @@
 	streams bool // its answer has begun
 }
 
-// doubt is an attempt that may have gone to a server that is silent, and when to look.
-type doubt struct {
+// hedgeTimer is an attempt that may have gone to a server that is silent, and when to look.
+type hedgeTimer struct {
 	at      float64
 	request uint32
 	attempt uint16
@@ -149,55 +151,55 @@
 
 // Balancer is one copy. It is not safe for concurrent use.
 type Balancer struct {
-	set             Settings
-	rng             uint64
-	now             float64
-	acts            []Action
-	byID            map[uint32]*server
-	live            []*server // listed and ready, in the order heard of
-	asked           int       // probes out
-	heldMean        float64   // mean of what servers told
-	turn            float64   // time that a call takes for each call its server held, where probes tell
-	probing         bool
-	homes           []*server // of the own zone, in the order in which all copies deal them out
-	requests        map[uint32]*request
-	queue, spare    []*request
-	sweepAt         float64 // when the first waiting call is to be given up
-	classes         []classState
-	tenants         []bucket
-	pool            [poolSize]sample
-	pooled          int
-	measured, cuts  int     // servers with a load of their own; those of them that are cut
-	meanLoad        float64 // mean load of those that are not
-	sends, arrivals average
-	meanAim         float64
-	taken, further  tally     // requests, and attempts that the retry budget counts
-	doubts          []doubt   // of attempts of safe classes, the next one first
-	closing         []*server // draining, and to be closed once more
-	budgetTold      bool      // the site states the retry budget
-	out             int       // calls out at servers that are not cut
-	room            float64   // most calls out at once; 0 = not bounded yet
-	firstRoom       float64   // its start: all copies together must not overrun a tier that none has measured
-	serving         float64   // servers that room is for: ready and not cut, a cold one in part
-	roomAt          float64   // next revision of room
-	typical, calm   float64   // mean ratio of answers, and its least: together they tell of waiting
-	calmFrom        float64
-	connLost        float64 // part of late attempts that found no connection
-	scratch         []float64
-	silence         float64 // time without an answer after which a server with calls out is over threshold
-	wakeAt          float64 // when the pending timer is due; 0 = none
-	timer           uint64  // its number
-	askAt           float64 // when the list is to be asked; 0 = not
-	backoff         float64
+	set                       Settings
+	rng                       uint64
+	now                       float64
+	acts                      []Action
+	byID                      map[uint32]*server
+	live                      []*server // listed and ready, in the order heard of
+	asked                     int       // probes out
+	heldMean                  float64   // mean of what servers told
+	turn                      float64   // time a call takes for each call its server held, where probes tell
+	probing                   bool
+	zoneServers               []*server // of the own zone, in the order in which all copies deal them out
+	requests                  map[uint32]*request
+	queue, spare              []*request
+	sweepAt                   float64 // when the first waiting call is to be given up
+	classes                   []classState
+	tenants                   []bucket
+	pool                      [poolSize]sample
+	pooled                    int
+	measured, ejections       int     // servers with a load of their own; those of them that are ejected
+	meanLoad                  float64 // mean load of those that are not
+	sends, arrivals           average
+	meanAim                   float64
+	taken, further            tally        // requests, and attempts that the retry budget counts
+	hedgeTimers               []hedgeTimer // of attempts of safe classes, the next one first
+	closing                   []*server    // draining, and to be closed once more
+	budgetTold                bool         // the site states the retry budget
+	out                       int          // calls out at servers that are not ejected
+	concurrencyLimit          float64      // most calls out at once; 0 = not bounded yet
+	initialLimit              float64      // its start: the copies must not overrun an unmeasured tier
+	serving                   float64      // those the limit is for: ready, not ejected, a cold one in part
+	limitAt                   float64      // next revision of the concurrency limit
+	tierLatency, leastLatency float64      // mean ratio of answers and its least: they tell of waiting
+	leastFrom                 float64
+	connLost                  float64 // part of late attempts that found no connection
+	scratch                   []float64
+	silence                   float64 // time without an answer, with calls out, that is over threshold
+	wakeAt                    float64 // when the pending timer is due; 0 = none
+	timer                     uint64  // its number
+	askAt                     float64 // when the list is to be asked; 0 = not
+	backoff                   float64
 }
 
 // New returns a balancer for one copy. The seed makes its random numbers.
 func New(set Settings, seed uint64, now float64) (*Balancer, error) {
 	if err := set.check(); err != nil {
-		return nil, fmt.Errorf("whinknot: %w", err)
+		return nil, fmt.Errorf("forkline: %w", err)
 	}
 	b := &Balancer{
-		set: set, rng: seed ^ 0x9e3779b97f4a7c15, now: now, sweepAt: math.Inf(1), calm: math.Inf(1),
+		set: set, rng: seed ^ 0x9e3779b97f4a7c15, now: now, sweepAt: math.Inf(1), leastLatency: math.Inf(1),
 		byID: map[uint32]*server{}, requests: map[uint32]*request{},
 	}
 	if f := &b.set.Safety; f.BudgetWindow > 0 {
@@ -223,7 +225,7 @@
 		b.backoff = askBackoff
 		b.askAt = now + b.random()*askSpread*set.Safety.AskEvery
 	}
-	b.calmFrom = now + 2*b.silence
+	b.leastFrom = now + 2*b.silence
 	return b, nil
 }
 
@@ -297,7 +299,7 @@
 	over := b.overQuota(q)
 	bound := (1 + queuePart*b.meanAim/1000*b.sends.rate) * b.valueShare(q, over)
 	full, most := len(b.live) > 0 && len(b.queue) > int(bound), b.set.Limits.MaxOpen
-	full = full || over && b.firstRoom > heldLeast && float64(b.out) >= overRoom*b.room
+	full = full || over && b.initialLimit > heldLeast && float64(b.out) >= overQuotaPart*b.concurrencyLimit
 	if full || most > 0 && len(b.requests) > most {
 		b.end(q)
 		return
@@ -319,7 +321,7 @@
 		for try := 0; try < lostTries && b.connLost > lostPart && !b.linked(s); try++ {
 			s = b.live[int(b.random()*float64(len(b.live)))]
 		}
-		if !s.asked && !s.cut {
+		if !s.asked && !s.ejected {
 			s.asked = true
 			b.asked++
 			b.acts = append(b.acts, Action{Kind: ActProbe, Server: s.Server})
@@ -397,8 +399,8 @@
 	if b.now >= b.sweepAt {
 		b.sweep()
 	}
-	if b.now >= b.roomAt {
-		b.reviseRoom()
+	if b.now >= b.limitAt {
+		b.reviseLimit()
 	}
 	taken := 0
 	for _, q := range b.queue {
@@ -410,9 +412,9 @@
 				q.backAt = 0
 				b.probe(q) // held back before: old figures must not let it go blind
 			}
-			crowded := b.set.Stage == 0 && float64(b.out) >= b.room
+			crowded := b.set.Stage == 0 && float64(b.out) >= b.concurrencyLimit
 			if crowded && b.findSilent() {
-				crowded = float64(b.out) >= b.room
+				crowded = float64(b.out) >= b.concurrencyLimit
 			}
 			if crowded || b.now < q.backAt || b.asked > 0 && b.now < q.readyAt {
 				break
@@ -470,17 +472,18 @@
 		}
 		most := b.accrue(s)
 		left := s.credit - float64(s.out)
-		if s.cold && s.credit < 1 || s.cut && left < 1 || s.silent && s.out > 0 {
+		if s.cold && s.credit < 1 || s.ejected && left < 1 || s.silent && s.out > 0 {
 			continue
 		}
-		rank := left/most - paceWeight*s.expected()/max(b.typical, 1e-9) // of like servers the quicker one
-		if s.cut && b.set.Classes[q.class].Effect == Safe {
+		// Of like servers the quicker one.
+		rank := left/most - latencyWeight*s.expected()/max(b.tierLatency, 1e-9)
+		if s.ejected && b.set.Classes[q.class].Effect == Safe {
 			rank += 50 // a trial call: its floor is small, and without one it never returns
 		} else if b.told(s) {
 			rank += 1000 - 10*(s.held+s.run) // each failure in a run weighs like a call held
 		} else if b.overdue(s) {
 			rank -= 40
-		} else if s.home > 0 && b.atHome(s) {
+		} else if s.subsetShare > 0 && b.subsetTakes(s) {
 			rank += 40
 		} else if own := int(s.Zone) == b.set.Zone; own && b.linked(s) {
 			rank += 30 // connections cost both ends and are few: open another only at need
@@ -497,7 +500,7 @@
 		if slices.ContainsFunc(q.attempts, func(a attempt) bool { return a.server == s }) {
 			rank -= 2000 // it did not help the last time: any other server first
 		}
-		if rank < bestRank || rank == bestRank && s.lastSent >= best.lastSent || !b.legal(q, s) {
+		if rank < bestRank || rank == bestRank && s.lastSent >= best.lastSent || !b.permitted(q, s) {
 			continue
 		}
 		best, bestRank = s, rank
@@ -513,11 +516,12 @@
 	return best
 }
 
-// atHome tells whether a home server takes this call: it has few out and, if slower than the tier, keeps only
-// a part of its calls by chance. Without it, servers of all speeds are loaded alike.
-func (b *Balancer) atHome(s *server) bool {
-	few := s.run <= runLimit && float64(s.out) < heldHome*s.home/(1+s.run)
-	return few && (s.pace <= b.typical || b.random()*s.pace*s.pace < b.typical*b.typical)
+// subsetTakes tells whether a server of the own subset takes this call: it has few out and, if slower than
+// the tier, keeps only a part of its calls by chance. Without it, servers of all speeds are loaded alike.
+func (b *Balancer) subsetTakes(s *server) bool {
+	few := s.run <= runLimit && float64(s.out) < subsetHeld*s.subsetShare/(1+s.run)
+	own, tier := s.meanLatency, b.tierLatency
+	return few && (own <= tier || b.random()*own*own < tier*tier)
 }
 
 // linked tells whether a call finds an open connection there, as far as known.
@@ -531,14 +535,14 @@
 
 // send is the one way to a server. It checks the rules, whatever was decided before.
 func (b *Balancer) send(q *request, s *server) bool {
-	if !b.mayTry(q) || !b.legal(q, s) {
+	if !b.mayTry(q) || !b.permitted(q, s) {
 		return false
 	}
 	b.sends.add(b.now, 1)
 	if b.counted(q) {
 		b.further.add(b.now)
 	}
-	s.credit = max(s.credit-1, -heldHome) // what is borrowed is bounded
+	s.credit = max(s.credit-1, -subsetHeld) // what is borrowed is bounded
 	b.count(s, 1)
 	s.lastSent = b.now
 	if s.held++; !b.told(s) {
@@ -546,42 +550,42 @@
 	}
 	q.open++
 	q.attempts = append(q.attempts, attempt{server: s, sentAt: b.now, held: s.held, open: true})
-	if wait := b.patience(q, s); wait > 0 {
-		b.doubt(doubt{b.now + wait, q.id, uint16(len(q.attempts) - 1)})
+	if wait := b.tryTimeout(q, s); wait > 0 {
+		b.setHedge(hedgeTimer{b.now + wait, q.id, uint16(len(q.attempts) - 1)})
 	}
 	b.acts = append(b.acts, Action{Kind: ActSend, Request: q.id, Server: s.Server, Until: q.due})
 	return true
 }
 
-// patience is how long a call waits for a server that says nothing; 0 = to its end. An inner copy hears of
-// each server too seldom to tell, but for a cut one, and a call that may not run twice is not sent twice.
-func (b *Balancer) patience(q *request, s *server) float64 {
-	if b.set.Stage > 0 && !s.cut || !b.set.Limits.Cancel || b.set.Classes[q.class].Effect != Safe {
+// tryTimeout is how long a call waits for a server that says nothing; 0 = to its end. An inner copy hears of
+// each server too seldom to tell, but for an ejected one; a call that may not run twice is not sent twice.
+func (b *Balancer) tryTimeout(q *request, s *server) float64 {
+	if b.set.Stage > 0 && !s.ejected || !b.set.Limits.Cancel || b.set.Classes[q.class].Effect != Safe {
 		return 0
 	}
-	return patience * b.classes[q.class].latency
+	return tryTimeoutMeans * b.classes[q.class].latency
 }
 
-// doubt notes when to look after an attempt.
-func (b *Balancer) doubt(d doubt) {
-	later := func(o, d doubt) int { return cmp.Compare(o.at, d.at) }
-	place, _ := slices.BinarySearchFunc(b.doubts, d, later)
-	b.doubts = slices.Insert(b.doubts, place, d)
+// setHedge notes when to look after an attempt.
+func (b *Balancer) setHedge(d hedgeTimer) {
+	later := func(o, d hedgeTimer) int { return cmp.Compare(o.at, d.at) }
+	place, _ := slices.BinarySearchFunc(b.hedgeTimers, d, later)
+	b.hedgeTimers = slices.Insert(b.hedgeTimers, place, d)
 }
 
 // callOffSilent calls off attempts at servers that have said nothing since, while there is time for others.
 // One that answers other calls is only slow: a further attempt would add to its load.
 func (b *Balancer) callOffSilent() {
-	for len(b.doubts) > 0 && b.doubts[0].at <= b.now {
-		d := b.doubts[0]
-		b.doubts = slices.Delete(b.doubts, 0, 1)
+	for len(b.hedgeTimers) > 0 && b.hedgeTimers[0].at <= b.now {
+		d := b.hedgeTimers[0]
+		b.hedgeTimers = slices.Delete(b.hedgeTimers, 0, 1)
 		q := b.requests[d.request]
 		if q == nil || q.ended || q.streaming || !q.attempts[d.attempt].open {
 			continue
 		}
 		a := &q.attempts[d.attempt]
-		if at := max(a.sentAt, a.server.heard) + b.patience(q, a.server); at > b.now {
-			b.doubt(doubt{at, d.request, d.attempt})
+		if at := max(a.sentAt, a.server.heard) + b.tryTimeout(q, a.server); at > b.now {
+			b.setHedge(hedgeTimer{at, d.request, d.attempt})
 		} else if b.now < b.lastStart(q) && len(q.attempts) < b.set.Limits.MaxAttempts {
 			a.silent = true
 			b.acts = append(b.acts, Action{Kind: ActCancel, Request: q.id, Attempt: d.attempt})
@@ -592,9 +596,9 @@
 // overdue tells whether a server has calls out and gave no answer for too long: it is over threshold already.
 func (b *Balancer) overdue(s *server) bool { return s.out > s.streams && b.now-s.heard > b.silence }
 
-// findSilent takes the servers that are overdue out of the room, and tells whether there were any: their
-// calls may stay out till they time out, and would leave no room beside idle servers. Till one is heard of
-// again it gets one call at a time. Where none else serves the cause is shared, and all stay in.
+// findSilent takes the servers that are overdue out of the concurrency limit, and tells whether there were
+// any: their calls may stay out till they time out, and would leave none for idle servers. Till one is
+// heard of again it gets one call at a time. Where none else serves the cause is shared, and all stay in.
 func (b *Balancer) findSilent() bool {
 	found, serving := false, 0
 	for _, s := range b.live {
@@ -675,8 +679,8 @@
 	return len(t.times) - t.first
 }
 
-// legal tells whether the rules let a call that may have an attempt have it at this server.
-func (b *Balancer) legal(q *request, s *server) bool {
+// permitted tells whether the rules let a call that may have an attempt have it at this server.
+func (b *Balancer) permitted(q *request, s *server) bool {
 	if !s.ready() || s.cold && s.credit < 1 {
 		return false
 	}
@@ -808,15 +812,15 @@
 	if c := &b.classes[class]; out == OK {
 		ratio = took / c.threshold
 		gain := max(2*latencyGain, 1/float64(s.count+1))
-		s.pace += gain * (min(ratio, failRatio) - s.pace)
-		s.crowd += gain * (float64(s.out+1) - s.crowd)
+		s.meanLatency += gain * (min(ratio, failRatio) - s.meanLatency)
+		s.meanConcurrency += gain * (float64(s.out+1) - s.meanConcurrency)
 		if c.latency == 0 {
 			c.latency = took
 		}
 		c.latency += latencyGain * (took - c.latency)
-		b.typical += max(latencyGain, 1/float64(b.pooled+1)) * (min(ratio, failRatio) - b.typical)
-		if b.now > b.calmFrom { // the first answers are the quick ones
-			b.calm = min(b.calm, b.typical)
+		b.tierLatency += max(latencyGain, 1/float64(b.pooled+1)) * (min(ratio, failRatio) - b.tierLatency)
+		if b.now > b.leastFrom { // the first answers are the quick ones
+			b.leastLatency = min(b.leastLatency, b.tierLatency)
 		}
 	}
 	s.linked = out == OK || s.linked && out != ConnectFailed
@@ -827,23 +831,23 @@
 	sm := sample{b.now, ratio}
 	s.samples[s.count%ringSize] = sm
 	s.count++
-	if (out == OK || out == Full) && !s.cut { // others tell of one server, not of the load
+	if (out == OK || out == Full) && !s.ejected { // others tell of one server, not of the load
 		b.pool[b.pooled%poolSize] = sm
 		b.pooled++
 	}
 	if ratio <= 1 {
 		s.good++
 		s.run = max(0, s.run-runLeak)
-		if s.goods++; s.cut && s.goods >= trialGoods {
+		if s.goods++; s.ejected && s.goods >= trialGoods {
 			b.unmeasure(s)
 		}
 		return
 	}
 	s.goods = 0
 	s.run++
-	more := float64(b.cuts+1) <= max(1, sharedPart*float64(len(b.live)))
-	if s.run > runLimit && !s.cut && s.ready() && more {
-		s.cut, s.measured = true, true
+	more := float64(b.ejections+1) <= max(1, sharedPart*float64(len(b.live)))
+	if s.run > runLimit && !s.ejected && s.ready() && more {
+		s.ejected, s.measured = true, true
 		s.load = b.floor()
 		b.recount()
 	}
@@ -883,33 +887,35 @@
 // floor is the least load of a server, so that trial calls still reach it.
 func (b *Balancer) floor() float64 { return max(floorPart*b.meanLoad, 1000/revisePeriod) }
 
-// reviseRoom applies the paper's rule to the calls that may be out at once, each second: ten are too long
+// reviseLimit applies the paper's rule to the calls that may be out at once, each second: ten are too long
 // for an overload. Only the front sheds: an inner error would waste upstream work. Two signs tell of waiting:
 // slow answers, and a mean well over its least. It sheds when both do, and rises by the mean (by slow answers
 // till there is a least): either lags behind the calls that are out, and servers once driven over stay slow
 // for long. It rises too late where the least mean is from a quieter time.
-func (b *Balancer) reviseRoom() {
+func (b *Balancer) reviseLimit() {
 	out := float64(b.out)
-	b.roomAt = b.now + windowTime
+	b.limitAt = b.now + windowTime
 	if b.set.Stage > 0 {
 		return
 	}
-	b.room = cmp.Or(b.room, b.firstRoom)
+	b.concurrencyLimit = cmp.Or(b.concurrencyLimit, b.initialLimit)
 	p95, ok := b.p95(nil)
-	waits, slow := b.typical/(waitOver*b.calm), p95/shedOver
-	if math.IsInf(b.calm, 1) {
+	waits, slow := b.tierLatency/(waitOver*b.leastLatency), p95/shedOver
+	if math.IsInf(b.leastLatency, 1) {
 		waits = slow
 	}
-	b.calm *= 1 + calmDrift
+	b.leastLatency *= 1 + leastDrift
 	switch {
-	case len(b.scratch) == 0 || !ok && math.IsInf(b.calm, 1): // nothing measured
+	case len(b.scratch) == 0 || !ok && math.IsInf(b.leastLatency, 1): // nothing measured
 	case waits > 1 && (slow > 1 || !ok):
 		good, _ := slices.BinarySearch(b.scratch, shedOver)
 		part := float64(good) / float64(len(b.scratch))
-		b.room = max(b.firstRoom, cutTo*part*min(b.room, max(out, b.room/headroom)))
+		most := min(b.concurrencyLimit, max(out, b.concurrencyLimit/headroom))
+		b.concurrencyLimit = max(b.initialLimit, decreaseTo*part*most)
 	default:
 		rise := math.Sqrt(1 + max(0, 1-waits*waits))
-		b.room = min(b.room*rise, max(b.room, b.firstRoom, headroom*(out+1)))
+		most := max(b.concurrencyLimit, b.initialLimit, headroom*(out+1))
+		b.concurrencyLimit = min(b.concurrencyLimit*rise, most)
 	}
 }
 
@@ -918,7 +924,7 @@
 	goodput := float64(s.good) * 1000 / max(b.now-s.since, 1)
 	s.reviseAt, s.since, s.good = b.now+revisePeriod, b.now, 0
 	p95, ok := b.p95(s)
-	if !ok || s.cut {
+	if !ok || s.ejected {
 		return
 	}
 	s.load, s.measured = revised(b.loadOf(s), goodput, p95, b.floor(), max(s.maxLoad, b.meanLoad)), true
@@ -931,7 +937,7 @@
 // revised gives the next load by the two formulas of the paper's section VI, held between floor and most.
 func revised(load, goodput, p95, floor, most float64) float64 {
 	if p95 > 1 {
-		return max(floor, cutTo*goodput)
+		return max(floor, decreaseTo*goodput)
 	}
 	next := load * math.Sqrt(1+(1-p95))
 	if most > 0 {
@@ -973,24 +979,24 @@
 
 // unmeasure lets a server take the others' mean again, as after a good run of trials.
 func (b *Balancer) unmeasure(s *server) {
-	s.measured, s.cut, s.silent = false, false, false
+	s.measured, s.ejected, s.silent = false, false, false
 	s.run, s.goods, s.count, s.good = 0, 0, 0, 0
 	s.since, s.reviseAt = b.now, b.now+revisePeriod
 	b.recount()
 }
 
-// recount renews what depends on the servers that serve: the mean load of the measured ones, and the room.
-// The room follows them both ways: those left hold no more than they did, and one that comes or is taken
-// back gets as much as each of them, less while cold. Taking alone would add up: servers replaced one by one,
-// a zone that flaps or a late list would leave no room beside idle servers. With the room of all, those left
-// by cuts are driven over. It does harm where a cut is wrong, or the list names servers that cannot serve:
-// their share jams the rest till the next revision.
+// recount renews what depends on the servers that serve: the mean load of the measured ones, and the
+// concurrency limit. It follows them both ways: those left hold no more than they did, and one that comes
+// or is taken back gets as much as each of them, less while cold. Taking alone would add up: servers
+// replaced one by one, a zone that flaps or a late list would leave none for idle servers. With the limit
+// for all, those left after ejections are driven over. It does harm where an ejection is wrong, or the list
+// names servers that cannot serve: their share jams the rest till the next revision.
 func (b *Balancer) recount() {
-	sum, n, cuts, serving := 0.0, 0, 0, 0.0
+	sum, n, ejected, serving := 0.0, 0, 0, 0.0
 	b.out = 0
 	for _, s := range b.live {
-		if s.cut {
-			cuts++
+		if s.ejected {
+			ejected++
 		} else if s.measured {
 			sum += s.load
 			n++
@@ -1005,9 +1011,9 @@
 			serving++
 		}
 	}
-	b.cuts, b.measured, b.meanLoad = cuts, n, sum/float64(max(n, 1))
+	b.ejections, b.measured, b.meanLoad = ejected, n, sum/float64(max(n, 1))
 	if serving > 0 {
-		b.room *= serving / cmp.Or(b.serving, serving)
+		b.concurrencyLimit *= serving / cmp.Or(b.serving, serving)
 		b.serving = serving
 	}
 }
@@ -1048,11 +1054,11 @@
 	// Servers come and go for as long as a copy runs: what is gone for good must not be kept.
 	maps.DeleteFunc(b.byID, func(_ uint32, s *server) bool { return !s.listed && s.out == 0 && !s.asked })
 	b.recount()
-	b.firstRoom = max(heldLeast, heldFirst*float64(len(b.live))/float64(b.set.Copies))
-	if b.room == 0 {
-		b.roomAt = b.now // calls that came ahead of the first list must not wait for the next revision
+	b.initialLimit = max(heldLeast, heldFirst*float64(len(b.live))/float64(b.set.Copies))
+	if b.concurrencyLimit == 0 {
+		b.limitAt = b.now // calls that came ahead of the first list must not wait for the next revision
 	}
-	b.assignHomes()
+	b.assignSubset()
 }
 
 // closeIdle closes the idle connections to a server that drains: on the notice, after each outcome and probe
@@ -1083,26 +1089,26 @@
 	})
 }
 
-// assignHomes deals the zone's servers out over the copies: an even stretch each of one order that all know.
+// assignSubset deals the zone's servers out over the copies: an even stretch each of one order that all know.
 // A copy sees only its own calls, so without this each server is loaded by chance.
-func (b *Balancer) assignHomes() {
+func (b *Balancer) assignSubset() {
 	zones := 1
-	b.homes = b.homes[:0]
+	b.zoneServers = b.zoneServers[:0]
 	for _, s := range b.live {
-		s.home = 0
+		s.subsetShare = 0
 		zones = max(zones, int(s.Zone)+1)
 		if int(s.Zone) == b.set.Zone {
-			b.homes = append(b.homes, s)
+			b.zoneServers = append(b.zoneServers, s)
 		}
 	}
-	slices.SortFunc(b.homes, func(a, c *server) int {
+	slices.SortFunc(b.zoneServers, func(a, c *server) int {
 		return cmp.Compare(mix(uint64(a.Server)), mix(uint64(c.Server)))
 	})
 	copies := max(b.set.Copies/zones, 1)
-	each := float64(len(b.homes)) / float64(copies)
+	each := float64(len(b.zoneServers)) / float64(copies)
 	from := each * float64(b.set.Rank/zones%copies)
-	for i, s := range b.homes {
-		s.home = max(0, min(from+each, float64(i+1))-max(from, float64(i)))
+	for i, s := range b.zoneServers {
+		s.subsetShare = max(0, min(from+each, float64(i+1))-max(from, float64(i)))
 	}
 }
 
@@ -1118,7 +1124,7 @@
 	s.ServerEntry = *e
 	if fresh {
 		b.unmeasure(s)
-		s.maxLoad, s.pace, s.linked = 0, 0, false
+		s.maxLoad, s.meanLatency, s.linked = 0, 0, false
 		if b.now-s.Started < b.set.Safety.Ramp { // credit by chance: copies must not all send at once
 			s.cold, s.credit, s.accruedAt = true, b.random(), b.now
 		}
@@ -1140,8 +1146,8 @@
 			at = next
 		}
 	}
-	if len(b.doubts) > 0 && (at == 0 || b.doubts[0].at < at) {
-		at = b.doubts[0].at
+	if len(b.hedgeTimers) > 0 && (at == 0 || b.hedgeTimers[0].at < at) {
+		at = b.hedgeTimers[0].at
 	}
 	if at == 0 || b.wakeAt != 0 && b.wakeAt <= at {
 		return
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -1,7 +1,8 @@
-package whinknot
+package forkline
 
 import (
 	"bytes"
+	"encoding/json"
 	"math"
 	"os"
 	"reflect"
@@ -143,7 +144,7 @@
 		set := plain()
 		set.Limits = l
 		h := start(t, set, ids(1)...)
-		h.b.room, h.b.roomAt = 1, math.Inf(1)
+		h.b.concurrencyLimit, h.b.limitAt = 1, math.Inf(1)
 		var last []Action
 		for id := uint32(1); id <= 9; id++ {
 			last = h.request(id, 0)
@@ -157,7 +158,7 @@
 func TestQueueHoldsInOrderAndIsBounded(t *testing.T) {
 	set := plain()
 	h := start(t, set, ids(1)...)
-	h.b.room, h.b.roomAt = 1, math.Inf(1)
+	h.b.concurrencyLimit, h.b.limitAt = 1, math.Inf(1)
 	h.b.sends = average{20, h.now}
 	if acts := h.request(1, 0); len(acts) != 1 || acts[0].Kind != ActSend {
 		t.Fatalf("first call: %+v", acts)
@@ -181,7 +182,7 @@
 
 func TestCheapCallsAreRefusedFirst(t *testing.T) {
 	h := start(t, plain(), ids(1)...)
-	h.b.room, h.b.roomAt, h.b.sends = 1, math.Inf(1), average{60, h.now}
+	h.b.concurrencyLimit, h.b.limitAt, h.b.sends = 1, math.Inf(1), average{60, h.now}
 	h.request(1, 2)
 	for id := uint32(2); id < 5; id++ {
 		h.request(id, 2)
@@ -226,7 +227,7 @@
 	for id := uint32(1); id <= 8; id++ {
 		h.request(id, 0)
 	}
-	h.b.room = 40
+	h.b.concurrencyLimit = 40
 	left := h.b.live[3]
 	if h.b.out != 8 || left.out == 0 {
 		t.Fatalf("%d calls out, %d at the server that leaves", h.b.out, left.out)
@@ -234,8 +235,8 @@
 	gone := left.ServerEntry
 	gone.State = Draining
 	h.do(Event{Kind: EvList, List: ListDelta, Servers: []ServerEntry{gone}})
-	if h.b.room != 30 || h.b.out != 8-left.out {
-		t.Errorf("room %v and %d calls out, want 30 and %d", h.b.room, h.b.out, 8-left.out)
+	if h.b.concurrencyLimit != 30 || h.b.out != 8-left.out {
+		t.Errorf("room %v and %d calls out, want 30 and %d", h.b.concurrencyLimit, h.b.out, 8-left.out)
 	}
 	for id, q := range h.b.requests { // an answer from there changes nothing any more
 		if q.attempts[0].server == left {
@@ -248,25 +249,25 @@
 	}
 	come := []ServerEntry{{Server: 90, State: Ready}, {Server: 91, State: Draining}}
 	h.do(Event{Kind: EvList, List: ListDelta, Servers: come})
-	if h.b.room != 40 {
-		t.Errorf("room %v with the fourth server back, want 40", h.b.room)
+	if h.b.concurrencyLimit != 40 {
+		t.Errorf("room %v with the fourth server back, want 40", h.b.concurrencyLimit)
 	}
 	h.b.set.Safety.Ramp, h.b.set.Safety.ColdFrom = 1000, 0.4
 	h.do(Event{Kind: EvList, List: ListDelta, Servers: []ServerEntry{{Server: 92, State: Ready, Started: h.now}}})
-	if h.b.room != 44 {
-		t.Errorf("room %v with a cold fifth server, want 44", h.b.room)
+	if h.b.concurrencyLimit != 44 {
+		t.Errorf("room %v with a cold fifth server, want 44", h.b.concurrencyLimit)
 	}
 	for range 3 {
 		h.b.learn(h.b.live[0], 0, Error, 1)
 	}
-	if !h.b.live[0].cut || math.Round(h.b.room) != 34 {
-		t.Errorf("room %v with one server cut, want 34", h.b.room)
+	if !h.b.live[0].ejected || math.Round(h.b.concurrencyLimit) != 34 {
+		t.Errorf("room %v with one server cut, want 34", h.b.concurrencyLimit)
 	}
 	for range trialGoods {
 		h.b.learn(h.b.live[0], 0, OK, 1)
 	}
-	if h.b.live[0].cut || math.Round(h.b.room) != 44 {
-		t.Errorf("room %v with that one back, want 44", h.b.room)
+	if h.b.live[0].ejected || math.Round(h.b.concurrencyLimit) != 44 {
+		t.Errorf("room %v with that one back, want 44", h.b.concurrencyLimit)
 	}
 }
 
@@ -284,9 +285,9 @@
 		for range windowSamples {
 			h.b.learn(h.b.live[0], 0, OK, c.took)
 		}
-		h.b.typical, h.b.calm, h.b.room, h.b.out = c.typical, c.calm, 40, 40
-		if h.b.reviseRoom(); h.b.room > 40 != c.rises {
-			t.Errorf("%+v: room %v after 40", c, h.b.room)
+		h.b.tierLatency, h.b.leastLatency, h.b.concurrencyLimit, h.b.out = c.typical, c.calm, 40, 40
+		if h.b.reviseLimit(); h.b.concurrencyLimit > 40 != c.rises {
+			t.Errorf("%+v: limit %v after 40", c, h.b.concurrencyLimit)
 		}
 	}
 }
@@ -299,7 +300,7 @@
 		class   uint16
 		answers bool
 		stage   int
-		cut     bool
+		ejected bool
 		want    bool
 	}{
 		{"silent", 0, false, 0, false, true}, {"slow", 0, true, 0, false, false}, {"keyed", 1, false, 0, false, false},
@@ -310,19 +311,19 @@
 		set.Limits.Cancel = true
 		h := start(t, set, ids(2)...)
 		h.b.classes[c.class].latency = 10
-		if s := h.b.live[0]; c.cut {
-			s.cut, s.measured, s.load, s.credit = true, true, 1, 1
+		if s := h.b.live[0]; c.ejected {
+			s.ejected, s.measured, s.load, s.credit = true, true, 1, 1
 		}
 		sent := h.request(1, c.class)
 		s := h.b.byID[sent[0].Server]
-		if s.cut != c.cut {
+		if s.ejected != c.ejected {
 			t.Fatalf("%s: sent to the other server", c.name)
 		}
 		h.now += 40
 		if c.answers {
 			s.heard = h.now
 		}
-		h.now += 10*patience - 40 + 1
+		h.now += 10*tryTimeoutMeans - 40 + 1
 		acts := h.do(Event{Kind: EvTimer, Token: h.b.timer})
 		if off := len(acts) == 1 && acts[0].Kind == ActCancel && acts[0].Request == 1; off != c.want {
 			t.Errorf("%s: %+v", c.name, acts)
@@ -335,7 +336,7 @@
 			t.Errorf("%s: then %+v, a run of %v failures", c.name, acts, s.run)
 		}
 		h.now += 1000
-		if h.do(Event{Kind: EvTimer, Token: h.b.timer}); h.b.wakeAt != 0 && len(h.b.doubts) == 0 {
+		if h.do(Event{Kind: EvTimer, Token: h.b.timer}); h.b.wakeAt != 0 && len(h.b.hedgeTimers) == 0 {
 			t.Errorf("%s: a timer is pending for nothing", c.name)
 		}
 	}
@@ -349,7 +350,7 @@
 		set.Classes[i].Aim, set.Classes[i].GiveUp = 1000, 60000
 	}
 	h := start(t, set, ids(1)...)
-	h.b.room, h.b.roomAt, h.b.serving = 10, math.Inf(1), 2 // for the server that comes back below, too
+	h.b.concurrencyLimit, h.b.limitAt, h.b.serving = 10, math.Inf(1), 2 // for the server that comes back below, too
 	var stuck []Action
 	for id := uint32(1); id <= 20; id++ {
 		h.b.sends.add(h.now, 10) // the queue is long enough
@@ -363,17 +364,17 @@
 		t.Fatalf("%d calls stuck, %d sent to the other server while the silence is short", len(stuck), other.out)
 	}
 	h.now++
-	if h.do(Event{Kind: EvTimer, Token: h.b.timer}); other.out != 5 || silent.out != 10 || h.b.room != 5 {
+	if h.do(Event{Kind: EvTimer, Token: h.b.timer}); other.out != 5 || silent.out != 10 || h.b.concurrencyLimit != 5 {
 		t.Errorf("%d calls out at the other server in a room of %v, %d at the silent one; want 5 in 5, and 10",
-			other.out, h.b.room, silent.out)
+			other.out, h.b.concurrencyLimit, silent.out)
 	}
 	h.do(Event{Kind: EvOutcome, Request: stuck[0].Request, Server: silent.Server, Outcome: Timeout, Took: 1000})
-	if !silent.silent || h.b.room != 5 {
+	if !silent.silent || h.b.concurrencyLimit != 5 {
 		t.Error("a time-out counts as a sign of life")
 	}
 	h.do(Event{Kind: EvOutcome, Request: stuck[1].Request, Server: silent.Server, Took: 1000, Done: true})
-	if silent.silent || h.b.room != 10 || h.b.out != silent.out+other.out {
-		t.Errorf("heard of again: silent %v, room %v, %d out", silent.silent, h.b.room, h.b.out)
+	if silent.silent || h.b.concurrencyLimit != 10 || h.b.out != silent.out+other.out {
+		t.Errorf("heard of again: silent %v, room %v, %d out", silent.silent, h.b.concurrencyLimit, h.b.out)
 	}
 }
 
@@ -403,15 +404,15 @@
 		set.Classes[i].Aim, set.Classes[i].GiveUp = 1000, 60000
 	}
 	h := start(t, set, ids(2)...)
-	h.b.room, h.b.roomAt = 10, math.Inf(1)
+	h.b.concurrencyLimit, h.b.limitAt = 10, math.Inf(1)
 	for id := uint32(1); id <= 20; id++ {
 		h.b.sends.add(h.now, 10)
 		h.do(Event{Kind: EvRequest, Request: id, Class: 2, Due: h.now + 60000})
 	}
 	h.now += 10 * h.b.silence
 	h.do(Event{Kind: EvTimer, Token: h.b.timer})
-	if out := h.b.live[0].out + h.b.live[1].out; out != 10 || h.b.room != 10 {
-		t.Errorf("%d calls out in a room of %v, want 10 in 10", out, h.b.room)
+	if out := h.b.live[0].out + h.b.live[1].out; out != 10 || h.b.concurrencyLimit != 10 {
+		t.Errorf("%d calls out in a room of %v, want 10 in 10", out, h.b.concurrencyLimit)
 	}
 }
 
@@ -421,12 +422,12 @@
 	set := plain()
 	set.Classes[2].Aim, set.Classes[2].GiveUp = 5000, 10000
 	h := start(t, set, ids(4)...)
-	h.b.room, h.b.roomAt, h.b.pooled, h.b.typical = 100, math.Inf(1), 100, 0.1
+	h.b.concurrencyLimit, h.b.limitAt, h.b.pooled, h.b.tierLatency = 100, math.Inf(1), 100, 0.1
 	for i, s := range h.b.live { // at three calls each, one server answers in two thirds of the others' time
-		s.linked, s.pace, s.crowd, s.count, s.reviseAt = true, 0.12, 3, ringSize, math.Inf(1)
+		s.linked, s.meanLatency, s.meanConcurrency, s.count, s.reviseAt = true, 0.12, 3, ringSize, math.Inf(1)
 		s.measured, s.load = true, 100
 		if i == 0 {
-			s.pace = 0.08
+			s.meanLatency = 0.08
 		}
 	}
 	h.b.recount()
@@ -449,7 +450,7 @@
 		set.Limits.ConnIdle = 1000
 		h := start(t, set, ids(2)...)
 		s := h.b.live[0]
-		s.cut, s.measured, s.load, s.run = true, true, 0.1, 3
+		s.ejected, s.measured, s.load, s.run = true, true, 0.1, 3
 		h.now += 20000
 		h.b.live[1].linked, h.b.live[1].heard = true, h.now
 		acts := h.request(1, uint16(class))
@@ -655,14 +656,14 @@
 	for range 3 {
 		h.b.learn(s, 0, Error, 1)
 	}
-	if !s.cut || h.b.loadOf(s) > 1 {
-		t.Fatalf("after three failures: cut %v, load %v", s.cut, h.b.loadOf(s))
+	if !s.ejected || h.b.loadOf(s) > 1 {
+		t.Fatalf("after three failures: cut %v, load %v", s.ejected, h.b.loadOf(s))
 	}
 	for range trialGoods {
 		h.b.learn(s, 0, OK, 20)
 	}
-	if s.cut || s.measured {
-		t.Errorf("after good trials: cut %v, measured %v", s.cut, s.measured)
+	if s.ejected || s.measured {
+		t.Errorf("after good trials: cut %v, measured %v", s.ejected, s.measured)
 	}
 }
 
@@ -676,7 +677,7 @@
 	}
 	cut := 0
 	for _, s := range h.b.live {
-		if s.cut {
+		if s.ejected {
 			cut++
 		}
 	}
@@ -695,8 +696,8 @@
 			h := start(t, set, ids(c.servers)...)
 			own := 0.0
 			for _, s := range h.b.live {
-				total[s.Server] += s.home
-				own += s.home
+				total[s.Server] += s.subsetShare
+				own += s.subsetShare
 			}
 			if want := float64(c.servers) / float64(c.copies); math.Abs(own-want) > 1e-9 {
 				t.Errorf("%d copies, %d servers: rank %d owns %v, want %v", c.copies, c.servers, rank, own, want)
@@ -885,27 +886,44 @@
 	}
 }
 
-// The module is read aloud: its size and width are bounded.
+// The module is read aloud: its size and width are bounded. The files are those of the deploy file's policy.
 func TestPolicySizeAndWidth(t *testing.T) {
-	text, err := os.ReadFile("balancer.go")
+	deploy, err := os.ReadFile("deploy/balancer.toml")
 	if err != nil {
 		t.Fatal(err)
 	}
+	var files []string
+	for line := range strings.Lines(string(deploy)) {
+		if list, ok := strings.CutPrefix(line, "policy = "); ok {
+			if err := json.Unmarshal([]byte(list), &files); err != nil {
+				t.Fatalf("policy: %v", err)
+			}
+		}
+	}
+	if len(files) == 0 {
+		t.Fatal("deploy/balancer.toml names no policy files")
+	}
 	lines := 0
-	for i, line := range bytes.Split(text, []byte("\n")) {
-		if len(bytes.TrimSpace(line)) > 0 {
-			lines++
+	for _, file := range files {
+		text, err := os.ReadFile(file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for i, line := range bytes.Split(text, []byte("\n")) {
+			if len(bytes.TrimSpace(line)) > 0 {
+				lines++
+			}
+			wide := utf8.RuneCount(line) + 3*bytes.Count(line, []byte("\t"))
+			if wide > 110 {
+				t.Errorf("%s: line %d is %d wide", file, i+1, wide)
+			}
 		}
-		wide := utf8.RuneCount(line) + 3*bytes.Count(line, []byte("\t"))
-		if wide > 110 {
-			t.Errorf("line %d is %d wide", i+1, wide)
+		if !bytes.Contains(text[:bytes.IndexByte(text, '\n')], []byte("api.go")) {
+			t.Errorf("%s: the first line must name the interface file", file)
 		}
 	}
-	if lines > 1100 {
-		t.Errorf("%d lines that are not blank, 1100 at most", lines)
-	}
-	if !bytes.Contains(text[:bytes.IndexByte(text, '\n')], []byte("api.go")) {
-		t.Error("the first line must name the interface file")
+	if lines > 1200 {
+		t.Errorf("%d lines that are not blank, 1200 at most", lines)
 	}
 }
 
@@ -970,13 +988,13 @@
 			sent[id] = a.Server
 		}
 	}
-	h.b.room, h.b.roomAt = 0, math.Inf(1)
+	h.b.concurrencyLimit, h.b.limitAt = 0, math.Inf(1)
 	for id := uint32(1); id <= 2; id++ {
 		if acts := h.do(Event{Kind: EvOutcome, Request: id, Server: sent[id], Outcome: Full, Took: 1}); len(acts) != 0 {
 			t.Fatalf("want both to wait: %+v", acts)
 		}
 	}
-	h.b.room = 10
+	h.b.concurrencyLimit = 10
 	acts := h.do(Event{Kind: EvTimer})
 	if len(acts) != 2 || acts[0].Kind != ActSend || acts[1].Kind != ActRefuse {
 		t.Errorf("want one sent and one refused: %+v", acts)
@@ -1118,18 +1136,18 @@
 					out, took = c.sick, c.took
 				}
 				h.b.learn(s, 0, out, took)
-				s.cut, s.run = false, 0
+				s.ejected, s.run = false, 0
 				h.b.sends.add(h.now, 1)
 				h.b.out = 40
-				if h.now >= h.b.roomAt {
-					h.b.reviseRoom()
+				if h.now >= h.b.limitAt {
+					h.b.reviseLimit()
 				}
 				if i == 3000 {
-					before = h.b.room
+					before = h.b.concurrencyLimit
 				}
 			}
-			if shed := h.b.room < before; shed != c.shed || before < 40 {
-				t.Errorf("room went from %.1f to %.1f", before, h.b.room)
+			if shed := h.b.concurrencyLimit < before; shed != c.shed || before < 40 {
+				t.Errorf("room went from %.1f to %.1f", before, h.b.concurrencyLimit)
 			}
 		})
 	}
@@ -1213,7 +1231,7 @@
 	if acts := h.request(1, 2); len(acts) != 1 || acts[0].Kind != ActSend {
 		t.Fatalf("with a free server: %+v", acts)
 	}
-	h.b.room, h.b.roomAt, h.b.sends = 1, math.Inf(1), average{20, h.now}
+	h.b.concurrencyLimit, h.b.limitAt, h.b.sends = 1, math.Inf(1), average{20, h.now}
 	if acts := h.request(2, 2); len(acts) != 0 {
 		t.Errorf("want the call to wait: %+v", acts)
 	}
@@ -1237,12 +1255,12 @@
 				took *= slow
 			}
 			h.b.learn(s, 0, OK, took)
-			s.cut, s.run = false, 0
+			s.ejected, s.run = false, 0
 			h.b.out = 25
-			h.b.reviseRoom()
+			h.b.reviseLimit()
 		}
-		if rose := h.b.room > h.b.firstRoom; rose != (slow == 1) {
-			t.Errorf("answers %v times slower: room %.1f of %.1f at first", slow, h.b.room, h.b.firstRoom)
+		if rose := h.b.concurrencyLimit > h.b.initialLimit; rose != (slow == 1) {
+			t.Errorf("answers %v times slower: room %.1f of %.1f at first", slow, h.b.concurrencyLimit, h.b.initialLimit)
 		}
 	}
 }
@@ -1332,7 +1350,7 @@
 	set := plain()
 	set.Tenants = []Tenant{{Quota: 1}, {Quota: 1000}}
 	h := start(t, set, ids(4)...)
-	h.b.room, h.b.roomAt, h.b.sends = 20, math.Inf(1), average{1000, h.now}
+	h.b.concurrencyLimit, h.b.limitAt, h.b.sends = 20, math.Inf(1), average{1000, h.now}
 	h.b.out = 12
 	ask := func(id uint32, tenant uint16) []Action {
 		return h.do(Event{Kind: EvRequest, Request: id, Tenant: tenant, Due: h.now + 1000})
@@ -1448,8 +1466,8 @@
 			t.Fatalf("hint %v: %+v, want a send", bad, acts)
 		}
 		h.do(Event{Kind: EvOutcome, Request: 2, Server: acts[0].Server, Outcome: OK, Took: bad, Done: true})
-		if b := h.b; len(b.requests) != 0 || !(b.typical >= 0) || !(b.classes[0].latency >= 0) || math.IsInf(b.typical, 0) {
-			t.Errorf("took %v: %d calls held, mean ratio %v", bad, len(b.requests), b.typical)
+		if b := h.b; len(b.requests) != 0 || !(b.tierLatency >= 0) || !(b.classes[0].latency >= 0) || math.IsInf(b.tierLatency, 0) {
+			t.Errorf("took %v: %d calls held, mean ratio %v", bad, len(b.requests), b.tierLatency)
 		}
 	}
 }
--- a/cmd/wirehost/main.go
+++ b/cmd/forkline-sim/main.go
@@ -1,4 +1,4 @@
-// Command wirehost hosts balancer instances on the bench's wire: batches come in
+// Command forkline-sim hosts balancer instances on the bench's wire: batches come in
 // on standard input, one reply a batch goes out on standard output.
 package main
 
@@ -9,27 +9,27 @@
 	"io"
 	"os"
 
-	"whinknot"
-	"whinknot/internal/wire"
+	"forkline"
+	"forkline/internal/wire"
 )
 
 func main() {
 	if err := run(os.Stdin, os.Stdout); err != nil {
-		fmt.Fprintln(os.Stderr, "wirehost:", err)
+		fmt.Fprintln(os.Stderr, "forkline-sim:", err)
 		os.Exit(1)
 	}
 }
 
 // host holds the instances of this process; they share nothing but the buffers.
 type host struct {
-	instances map[uint16]*whinknot.Balancer
+	instances map[uint16]*forkline.Balancer
 	reply     wire.Reply
-	actions   []whinknot.Action
+	actions   []forkline.Action
 }
 
 func run(in io.Reader, out io.Writer) error {
 	r, w := bufio.NewReaderSize(in, 1<<16), bufio.NewWriterSize(out, 1<<16)
-	h := &host{instances: map[uint16]*whinknot.Balancer{}}
+	h := &host{instances: map[uint16]*forkline.Balancer{}}
 	var dec wire.Decoder
 	for {
 		batch, err := dec.Read(r)
@@ -59,7 +59,7 @@
 	if err != nil {
 		return fmt.Errorf("instance %d: %w", instance, err)
 	}
-	b, err := whinknot.New(set, seed, now)
+	b, err := forkline.New(set, seed, now)
 	if err != nil {
 		delete(h.instances, instance)
 		h.reply.AddFault(instance, err.Error())
@@ -73,7 +73,7 @@
 func (h *host) Stop(instance uint16) { delete(h.instances, instance) }
 
 // Event lets an instance handle one event; events for stopped ones are passed over.
-func (h *host) Event(instance uint16, now float64, ev *whinknot.Event) error {
+func (h *host) Event(instance uint16, now float64, ev *forkline.Event) error {
 	b := h.instances[instance]
 	if b == nil {
 		return nil
--- a/cmd/wirehost/main_test.go
+++ b/cmd/forkline-sim/main_test.go
@@ -42,7 +42,7 @@
 // build compiles the adapter as the deploy file does.
 func build(t *testing.T) string {
 	t.Helper()
-	bin := filepath.Join(t.TempDir(), "wirehost")
+	bin := filepath.Join(t.TempDir(), "forkline-sim")
 	if out, err := exec.Command("go", "build", "-o", bin, ".").CombinedOutput(); err != nil {
 		t.Fatalf("build: %v\n%s", err, out)
 	}
--- a/cmd/milletmast/config.go
+++ b/cmd/forkline/config.go
@@ -8,8 +8,8 @@
 	"os"
 	"strconv"
 
-	"whinknot/internal/sidecar"
-	"whinknot/internal/wire"
+	"forkline/internal/sidecar"
+	"forkline/internal/wire"
 )
 
 // file mirrors the configuration file; unknown keys are ignored.
--- a/cmd/milletmast/main.go
+++ b/cmd/forkline/main.go
@@ -1,4 +1,4 @@
-// Command milletmast is one sidecar: it takes requests over HTTP and has the decision module choose
+// Command forkline is one sidecar: it takes requests over HTTP and has the decision module choose
 // which endpoint of its tier serves each.
 package main
 
@@ -12,7 +12,7 @@
 	"runtime/debug"
 	"syscall"
 
-	"whinknot/internal/sidecar"
+	"forkline/internal/sidecar"
 )
 
 // memoryPart is the share of the memory limit that the Go runtime may fill; the rest is room for what it
@@ -21,7 +21,7 @@
 
 func main() {
 	if err := run(); err != nil {
-		fmt.Fprintln(os.Stderr, "milletmast:", err)
+		fmt.Fprintln(os.Stderr, "forkline:", err)
 		os.Exit(1)
 	}
 }
--- a/cmd/milletmast/main_test.go
+++ b/cmd/forkline/main_test.go
@@ -15,7 +15,7 @@
 // build compiles the program as the deploy file does.
 func build(t *testing.T) string {
 	t.Helper()
-	bin := filepath.Join(t.TempDir(), "milletmast")
+	bin := filepath.Join(t.TempDir(), "forkline")
 	if out, err := exec.Command("go", "build", "-o", bin, ".").CombinedOutput(); err != nil {
 		t.Fatalf("build: %v\n%s", err, out)
 	}
--- a/example_test.go
+++ b/example_test.go
@@ -1,44 +1,44 @@
-package whinknot_test
+package forkline_test
 
 import (
 	"fmt"
 
-	"whinknot"
+	"forkline"
 )
 
 // A sidecar owns the clock, the sockets and one Balancer. It turns what happens
 // into events and carries out the actions, in order.
 func Example() {
-	settings := whinknot.Settings{
+	settings := forkline.Settings{
 		Copies:  1,
-		Classes: []whinknot.Class{{Name: "read", Worth: 1, Aim: 300, GiveUp: 1000, Effect: whinknot.Safe}},
-		Limits:  whinknot.Limits{MaxAttempts: 3},
-		Safety:  whinknot.Safety{AnswerSlack: 20, DrainGrace: 1000, ColdFrom: 0.2, Ramp: 10000, AskEvery: 10000},
+		Classes: []forkline.Class{{Name: "read", Worth: 1, Aim: 300, GiveUp: 1000, Effect: forkline.Safe}},
+		Limits:  forkline.Limits{MaxAttempts: 3},
+		Safety:  forkline.Safety{AnswerSlack: 20, DrainGrace: 1000, ColdFrom: 0.2, Ramp: 10000, AskEvery: 10000},
 	}
 	now := 0.0 // milliseconds; a real sidecar reads its monotonic clock
-	b, err := whinknot.New(settings, 42, now)
+	b, err := forkline.New(settings, 42, now)
 	if err != nil {
 		fmt.Println(err)
 		return
 	}
-	var actions []whinknot.Action // reused: Handle appends to it
-	actions = b.Handle(now, &whinknot.Event{
-		Kind: whinknot.EvList, List: whinknot.ListFull,
-		Servers: []whinknot.ServerEntry{{Server: 1, Weight: 1}},
+	var actions []forkline.Action // reused: Handle appends to it
+	actions = b.Handle(now, &forkline.Event{
+		Kind: forkline.EvList, List: forkline.ListFull,
+		Servers: []forkline.ServerEntry{{Server: 1, Weight: 1}},
 	}, actions[:0])
 
-	actions = b.Handle(now, &whinknot.Event{Kind: whinknot.EvRequest, Request: 7, Due: 900}, actions[:0])
+	actions = b.Handle(now, &forkline.Event{Kind: forkline.EvRequest, Request: 7, Due: 900}, actions[:0])
 	for _, a := range actions {
-		if a.Kind == whinknot.ActSend {
+		if a.Kind == forkline.ActSend {
 			fmt.Printf("send request %d to server %d, give up at %.0f ms\n", a.Request, a.Server, a.Until)
 		}
 	}
 	now = 25
-	actions = b.Handle(now, &whinknot.Event{
-		Kind: whinknot.EvOutcome, Request: 7, Server: 1, Outcome: whinknot.Error, Took: 25,
+	actions = b.Handle(now, &forkline.Event{
+		Kind: forkline.EvOutcome, Request: 7, Server: 1, Outcome: forkline.Error, Took: 25,
 	}, actions[:0])
 	for _, a := range actions {
-		if a.Kind == whinknot.ActSend {
+		if a.Kind == forkline.ActSend {
 			fmt.Printf("the class is safe: send request %d once more\n", a.Request)
 		}
 	}
--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -18,7 +18,7 @@
 	"sync"
 	"time"
 
-	"whinknot"
+	"forkline"
 )
 
 const (
@@ -54,8 +54,8 @@
 	BootMS   float64 `json:"boot_ms"`
 }
 
-var states = map[string]whinknot.ServerState{
-	"Ready": whinknot.Ready, "Terminating": whinknot.Draining, "Gone": whinknot.Gone,
+var states = map[string]forkline.ServerState{
+	"Ready": forkline.Ready, "Terminating": forkline.Draining, "Gone": forkline.Gone,
 }
 
 // ParseList reads one list and checks each line of it.
@@ -68,7 +68,7 @@
 		if _, ok := states[t.State]; !ok || t.UID == "" {
 			return l, fmt.Errorf("targets[%d]: uid %q or state %q is unknown", i, t.UID, t.State)
 		}
-		if _, _, err := net.SplitHostPort(t.Endpoint); err != nil && states[t.State] != whinknot.Gone {
+		if _, _, err := net.SplitHostPort(t.Endpoint); err != nil && states[t.State] != forkline.Gone {
 			return l, fmt.Errorf("targets[%d]: endpoint: %w", i, err)
 		}
 	}
@@ -114,12 +114,12 @@
 }
 
 // entry turns a line of the list into the module's. A zone that the settings do not name is nobody's own.
-func (d *directory) entry(t *Target) whinknot.ServerEntry {
+func (d *directory) entry(t *Target) forkline.ServerEntry {
 	zone, kind := slices.Index(d.zones, t.Zone), slices.Index(d.kinds, t.Kind)
 	if zone < 0 {
 		zone = min(len(d.zones), 255)
 	}
-	return whinknot.ServerEntry{
+	return forkline.ServerEntry{
 		Server: d.id(t.UID), Zone: uint8(zone), Kind: uint16(max(kind, 0)), Cell: t.Cell,
 		State: states[t.State], Weight: t.Weight, Started: t.BootMS,
 	}
--- a/internal/sidecar/callers.go
+++ b/internal/sidecar/downstream.go
@@ -19,17 +19,17 @@
 )
 
 const (
-	writeTime    = 3 * time.Second // for an answer to be taken
-	lingerTime   = 500 * time.Millisecond
-	lingerBytes  = 256 << 10 // read and dropped of a caller that still sends, for an error to reach it
-	acceptPause  = 5 * time.Millisecond
-	drainPoll    = 5 * time.Millisecond
-	spareCallers = 8                      // so many below the limit, quiet connections start to give way
-	slowTime     = 500 * time.Millisecond // a request that has been coming for so long is not sent in earnest
+	writeTime       = 3 * time.Second // for an answer to be taken
+	lingerTime      = 500 * time.Millisecond
+	lingerBytes     = 256 << 10 // read and dropped of a caller that still sends, for an error to reach it
+	acceptPause     = 5 * time.Millisecond
+	drainPoll       = 5 * time.Millisecond
+	spareDownstream = 8                      // so many below the limit, quiet connections start to give way
+	slowTime        = 500 * time.Millisecond // a request that has been coming for so long is not sent in earnest
 )
 
-// caller is one connection of a caller. Its other fields are guarded by callers.mu.
-type caller struct {
+// downstreamConn is one connection of a caller. Its other fields are guarded by callers.mu.
+type downstreamConn struct {
 	net.Conn
 	reader *bufio.Reader
 	in     *list.List // that it is in; nil while a request is open
@@ -39,10 +39,10 @@
 	ended  bool      // it was too slow: what comes is no request any more
 }
 
-// callers holds the callers' connections. Near the limit those without an open request give way, the one quiet
+// downstream holds the callers' connections. Near the limit those without an open request give way, the one quiet
 // longest first, and then slow ones: callers that hold connections for nothing, or send slowly, keep none out. One on
 // which a request has begun to come does not, as the request may be whole at any moment and is taken then.
-type callers struct {
+type downstream struct {
 	most   int
 	slow   time.Duration // see slowTime
 	ended  chan struct{} // closed when none is accepted any more
@@ -52,12 +52,12 @@
 	coming *list.List // those whose request has begun to come, the first one first
 }
 
-func newCallers(most int) *callers {
-	return &callers{most: most, slow: slowTime, ended: make(chan struct{}), quiet: list.New(), coming: list.New()}
+func newDownstream(most int) *downstream {
+	return &downstream{most: most, slow: slowTime, ended: make(chan struct{}), quiet: list.New(), coming: list.New()}
 }
 
 // serve accepts connections until the listener is closed; each is served by talk.
-func (cs *callers) serve(ln net.Listener, talk func(*caller)) error {
+func (cs *downstream) serve(ln net.Listener, talk func(*downstreamConn)) error {
 	defer close(cs.ended)
 	for {
 		conn, err := ln.Accept()
@@ -78,10 +78,10 @@
 }
 
 // add takes a connection in; with no room for it, it is closed, which its caller can tell from a lost request.
-func (cs *callers) add(conn net.Conn) *caller {
+func (cs *downstream) add(conn net.Conn) *downstreamConn {
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
-	if cs.open > cs.most-spareCallers && cs.oneGivesWay() {
+	if cs.open > cs.most-spareDownstream && cs.oneGivesWay() {
 		cs.mu.Unlock()
 		runtime.Gosched() // its descriptor is free once its goroutine has run
 		cs.mu.Lock()
@@ -90,20 +90,20 @@
 		conn.Close()
 		return nil
 	}
-	c := &caller{Conn: conn, reader: bufio.NewReader(conn)}
+	c := &downstreamConn{Conn: conn, reader: bufio.NewReader(conn)}
 	cs.put(c, cs.quiet)
 	cs.open++
 	return c
 }
 
 // oneGivesWay ends the connection that is needed least, if there is one.
-func (cs *callers) oneGivesWay() bool {
+func (cs *downstream) oneGivesWay() bool {
 	if e := cs.quiet.Front(); e != nil {
-		cs.ask(e.Value.(*caller))
+		cs.ask(e.Value.(*downstreamConn))
 		return true
 	}
-	if e := cs.coming.Front(); e != nil && time.Since(e.Value.(*caller).since) > cs.slow {
-		c := e.Value.(*caller)
+	if e := cs.coming.Front(); e != nil && time.Since(e.Value.(*downstreamConn).since) > cs.slow {
+		c := e.Value.(*downstreamConn)
 		cs.put(c, nil)
 		c.ended = true
 		c.Close()
@@ -113,14 +113,14 @@
 }
 
 // ask has the goroutine of a quiet connection close it. Only that goroutine can tell that no request has come.
-func (cs *callers) ask(c *caller) {
+func (cs *downstream) ask(c *downstreamConn) {
 	cs.put(c, nil)
 	c.asked = true
 	c.SetReadDeadline(time.Unix(1, 0))
 }
 
 // put moves a connection to the end of a list, or out of all.
-func (cs *callers) put(c *caller, in *list.List) {
+func (cs *downstream) put(c *downstreamConn, in *list.List) {
 	if c.in != nil {
 		c.in.Remove(c.place)
 	}
@@ -129,7 +129,7 @@
 	}
 }
 
-func (cs *callers) remove(c *caller) {
+func (cs *downstream) remove(c *downstreamConn) {
 	c.Close()
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
@@ -139,7 +139,7 @@
 
 // comes waits until a request begins to come and tells whether one does by then. Where the connection was asked to
 // give way, bytes that have come by now still count.
-func (cs *callers) comes(c *caller, by time.Time) bool {
+func (cs *downstream) comes(c *downstreamConn, by time.Time) bool {
 	c.SetReadDeadline(by)
 	if cs.isAsked(c) { // before that deadline was set
 		c.SetReadDeadline(time.Unix(1, 0))
@@ -152,17 +152,17 @@
 	return err == nil && cs.goOn(c, cs.coming)
 }
 
-func (cs *callers) isAsked(c *caller) bool {
+func (cs *downstream) isAsked(c *downstreamConn) bool {
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
 	return c.asked
 }
 
 // begins marks a connection as one with an open request, ends as a quiet one. Both tell whether it may go on.
-func (cs *callers) begins(c *caller) bool { return cs.goOn(c, nil) }
-func (cs *callers) ends(c *caller) bool   { return cs.goOn(c, cs.quiet) }
+func (cs *downstream) begins(c *downstreamConn) bool { return cs.goOn(c, nil) }
+func (cs *downstream) ends(c *downstreamConn) bool   { return cs.goOn(c, cs.quiet) }
 
-func (cs *callers) goOn(c *caller, in *list.List) bool {
+func (cs *downstream) goOn(c *downstreamConn, in *list.List) bool {
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
 	if !c.ended {
@@ -174,12 +174,12 @@
 
 // drain closes what is quiet, until nothing is left or the time is up. What has begun to come may still become a
 // request, and is answered.
-func (cs *callers) drain(until time.Time) {
+func (cs *downstream) drain(until time.Time) {
 	<-cs.ended // one that is accepted but not yet counted is not missed
 	for left := 1; left > 0 && time.Now().Before(until); {
 		cs.mu.Lock()
 		for e := cs.quiet.Front(); e != nil; e = cs.quiet.Front() {
-			cs.ask(e.Value.(*caller))
+			cs.ask(e.Value.(*downstreamConn))
 		}
 		left = cs.open
 		cs.mu.Unlock()
@@ -188,7 +188,7 @@
 }
 
 // unread looks, without waiting, whether bytes have come that were not read yet.
-func (c *caller) unread() bool {
+func (c *downstreamConn) unread() bool {
 	n, err := peek(c.Conn)
 	return err == nil && n > 0
 }
@@ -196,7 +196,7 @@
 // leaves waits until the caller has left, and tells that; it has not when a read deadline ends the wait. What comes
 // behind its request stays in the reader, as far as there is room. An end behind more than that is no end of the
 // stream yet: only a poll shows it.
-func (c *caller) leaves() bool {
+func (c *downstreamConn) leaves() bool {
 	for n := c.reader.Buffered() + 1; n <= c.reader.Size(); n = c.reader.Buffered() + 1 {
 		if _, err := c.reader.Peek(n); err != nil {
 			return !errors.Is(err, os.ErrDeadlineExceeded)
@@ -227,7 +227,7 @@
 }
 
 // answer writes a final answer. The length goes first, so that a body that breaks off shows.
-func (c *caller) answer(a *answer, last bool) error {
+func (c *downstreamConn) answer(a *answer, last bool) error {
 	var head bytes.Buffer
 	fmt.Fprintf(&head, "HTTP/1.1 %d %s\r\nContent-Length: %d\r\n", a.status, http.StatusText(a.status), len(a.body))
 	if a.retryAfter > 0 {
@@ -244,7 +244,7 @@
 }
 
 // turnAway answers what cannot be taken and ends the connection: nothing behind it can be read for sure.
-func (c *caller) turnAway(status int, complaint string) {
+func (c *downstreamConn) turnAway(status int, complaint string) {
 	if c.answer(&answer{status: status, body: []byte(complaint + "\n")}, true) == nil {
 		c.finish()
 	}
@@ -252,7 +252,7 @@
 
 // finish ends a connection behind its last answer. What its caller still sends is dropped for a while, as a close with
 // bytes unread is a reset, which could overtake the answer.
-func (c *caller) finish() {
+func (c *downstreamConn) finish() {
 	if tcp, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		tcp.CloseWrite()
 	}
--- a/internal/sidecar/front.go
+++ b/internal/sidecar/front.go
@@ -12,7 +12,7 @@
 	"sync/atomic"
 	"time"
 
-	"whinknot"
+	"forkline"
 )
 
 const (
@@ -28,22 +28,22 @@
 
 // front takes requests from callers and answers them.
 type front struct {
-	loop     *loop
-	set      *whinknot.Settings
-	classes  map[string]uint16
-	tenants  map[string]uint16
-	callers  *callers
-	draining atomic.Bool   // not ready any more
-	ending   atomic.Bool   // every answer closes its connection
-	accept   time.Duration // from SIGTERM until no new connection is taken
-	quiet    time.Duration // see quietTime
+	loop       *loop
+	set        *forkline.Settings
+	classes    map[string]uint16
+	tenants    map[string]uint16
+	downstream *downstream
+	draining   atomic.Bool   // not ready any more
+	ending     atomic.Bool   // every answer closes its connection
+	accept     time.Duration // from SIGTERM until no new connection is taken
+	quiet      time.Duration // see quietTime
 }
 
 // newFront makes a front for at most so many callers' connections.
-func newFront(l *loop, set *whinknot.Settings, most int) *front {
+func newFront(l *loop, set *forkline.Settings, most int) *front {
 	f := &front{
 		loop: l, set: set, classes: map[string]uint16{}, tenants: map[string]uint16{}, accept: acceptTime,
-		quiet: quietTime, callers: newCallers(most),
+		quiet: quietTime, downstream: newDownstream(most),
 	}
 	for i, c := range set.Classes {
 		f.classes[c.Name] = uint16(i)
@@ -55,13 +55,13 @@
 }
 
 // serve takes requests until the listener is closed.
-func (f *front) serve(ln net.Listener) error { return f.callers.serve(ln, f.talk) }
+func (f *front) serve(ln net.Listener) error { return f.downstream.serve(ln, f.talk) }
 
 // talk serves one connection: a request, its answer, and so on, while both sides keep it.
-func (f *front) talk(c *caller) {
+func (f *front) talk(c *downstreamConn) {
 	for first, lasts := true, true; lasts; first = false {
 		by := time.Now().Add(f.quiet)
-		if !f.callers.comes(c, by) {
+		if !f.downstream.comes(c, by) {
 			return
 		}
 		if !first {
@@ -78,7 +78,7 @@
 			m.length = 0
 		}
 		if m.first == "GET /-/ready HTTP/1.1" {
-			if c.answer(&answer{status: f.ready()}, !lasts) != nil || !f.callers.ends(c) {
+			if c.answer(&answer{status: f.ready()}, !lasts) != nil || !f.downstream.ends(c) {
 				return
 			}
 			continue
@@ -98,7 +98,7 @@
 		}
 		a, ok := f.have(c, k)
 		lasts = lasts && !f.ending.Load() && a.status/100 != 4
-		if !ok || c.answer(&a, !lasts) != nil || lasts && !f.callers.ends(c) {
+		if !ok || c.answer(&a, !lasts) != nil || lasts && !f.downstream.ends(c) {
 			return
 		}
 	}
@@ -106,7 +106,7 @@
 }
 
 // complain answers what cannot be read as a request. One that falls silent or breaks off is just closed.
-func (f *front) complain(c *caller, err error) {
+func (f *front) complain(c *downstreamConn, err error) {
 	_, broken := err.(net.Error)
 	switch {
 	case err == errTooLong:
@@ -117,7 +117,7 @@
 }
 
 // have gets the final answer to a request that has come whole; none if its caller leaves before.
-func (f *front) have(c *caller, k *call) (answer, bool) {
+func (f *front) have(c *downstreamConn, k *call) (answer, bool) {
 	answered := make(chan answer, 1)
 	k.reply = func(a answer) {
 		c.SetReadDeadline(time.Unix(1, 0)) // ends the wait below; behind the answer, it could end the next request's reading
@@ -125,7 +125,7 @@
 	}
 	k.due(f.loop.clock(time.Now()))
 	c.SetReadDeadline(time.Time{})
-	if !f.callers.begins(c) {
+	if !f.downstream.begins(c) {
 		return answer{}, false
 	}
 	f.loop.post(func() { f.loop.take(k) })
@@ -181,13 +181,13 @@
 	}
 	class := &f.set.Classes[index]
 	want := http.MethodPost
-	if class.Effect == whinknot.Safe {
+	if class.Effect == forkline.Safe {
 		want = http.MethodGet
 	}
 	switch {
 	case method != want:
 		return nil, http.StatusMethodNotAllowed, "requests of this class are " + want
-	case class.Effect == whinknot.Keyed && h.Get("Idempotency-Key") == "":
+	case class.Effect == forkline.Keyed && h.Get("Idempotency-Key") == "":
 		return nil, http.StatusBadRequest, "Idempotency-Key is missing"
 	case h.Get("X-Request-Id") == "":
 		return nil, http.StatusBadRequest, "X-Request-Id is missing"
@@ -211,9 +211,9 @@
 		tenant = uint16(len(f.tenants)) // one without a quota
 	}
 	k = &call{
-		event: whinknot.Event{Class: index, Tenant: tenant, Hint: hint / 1000},
+		event: forkline.Event{Class: index, Tenant: tenant, Hint: hint / 1000},
 		wait:  1000*wait - min(float64(margin.Milliseconds()), 1000*marginPart*wait),
-		id:    h.Get("X-Request-Id"), safe: class.Effect == whinknot.Safe,
+		id:    h.Get("X-Request-Id"), safe: class.Effect == forkline.Safe,
 	}
 	if cookie, err := (&http.Request{Header: h}).Cookie("obj"); err == nil {
 		sum := fnv.New64a()
@@ -222,7 +222,7 @@
 	}
 	k.out = outgoing{
 		start:  fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\n", method, uri, h.Get("Host")),
-		header: endToEnd(h), once: class.Effect == whinknot.Unsafe,
+		header: endToEnd(h), once: class.Effect == forkline.Unsafe,
 	}
 	h.Del("Host")
 	return k, 0, ""
@@ -249,5 +249,5 @@
 	f.ending.Store(true)
 	timer := time.AfterFunc(time.Until(begun.Add(last)), func() { f.loop.post(f.loop.giveUpAll) })
 	defer timer.Stop()
-	f.callers.drain(begun.Add(last + lastWrites))
+	f.downstream.drain(begun.Add(last + lastWrites))
 }
--- a/internal/sidecar/front_test.go
+++ b/internal/sidecar/front_test.go
@@ -115,10 +115,10 @@
 		t.Errorf("status %d", res.StatusCode)
 	}
 	c.ends(t)
-	s.front.callers.mu.Lock()
-	defer s.front.callers.mu.Unlock()
-	if n := s.front.callers.quiet.Len(); n > s.front.callers.open {
-		t.Errorf("%d connections are held quiet of %d open", n, s.front.callers.open)
+	s.front.downstream.mu.Lock()
+	defer s.front.downstream.mu.Unlock()
+	if n := s.front.downstream.quiet.Len(); n > s.front.downstream.open {
+		t.Errorf("%d connections are held quiet of %d open", n, s.front.downstream.open)
 	}
 }
 
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -7,7 +7,7 @@
 	"net/http"
 	"time"
 
-	"whinknot"
+	"forkline"
 )
 
 const (
@@ -21,7 +21,7 @@
 
 // call is one request that the sidecar has taken. The loop owns it.
 type call struct {
-	event    whinknot.Event // as the module hears of it
+	event    forkline.Event // as the module hears of it
 	id       string         // its client's
 	wait     float64        // ms from its arrival in which it must be answered
 	out      outgoing
@@ -74,9 +74,9 @@
 type loop struct {
 	start     time.Time
 	startMS   float64 // the same as Unix time
-	balancer  *whinknot.Balancer
+	balancer  *forkline.Balancer
 	comeBack  time.Duration // told with a refusal of the loop's own
-	actions   []whinknot.Action
+	actions   []forkline.Action
 	mail      chan func()
 	ended     chan struct{} // closed when the program ends
 	up        *upstream
@@ -111,7 +111,7 @@
 	}
 	l.comeBack = millis(set.Limits.ComeBack())
 	var err error
-	l.balancer, err = whinknot.New(set, cfg.Seed, l.now())
+	l.balancer, err = forkline.New(set, cfg.Seed, l.now())
 	return l, err
 }
 
@@ -170,7 +170,7 @@
 	for len(l.agenda) > 0 && l.agenda[0].at <= l.now() {
 		d := heap.Pop(&l.agenda).(*due)
 		if d.call == nil {
-			l.handle(&whinknot.Event{Kind: whinknot.EvTimer, Token: d.token})
+			l.handle(&forkline.Event{Kind: forkline.EvTimer, Token: d.token})
 		} else {
 			l.giveUp(d.call)
 		}
@@ -178,35 +178,35 @@
 }
 
 // handle gives the module an event and carries its actions out.
-func (l *loop) handle(ev *whinknot.Event) {
+func (l *loop) handle(ev *forkline.Event) {
 	l.actions = l.balancer.Handle(l.now(), ev, l.actions[:0])
 	for i := range l.actions {
 		l.carryOut(&l.actions[i])
 	}
 }
 
-func (l *loop) carryOut(a *whinknot.Action) {
+func (l *loop) carryOut(a *forkline.Action) {
 	c := l.calls[a.Request]
 	switch a.Kind {
-	case whinknot.ActSend:
+	case forkline.ActSend:
 		if c != nil {
 			l.send(c, a.Server, a.Until)
 		}
-	case whinknot.ActRefuse:
+	case forkline.ActRefuse:
 		l.finish(c, answer{status: statusRefused, retryAfter: millis(a.After)})
-	case whinknot.ActFail:
+	case forkline.ActFail:
 		l.finish(c, answer{status: statusFailed})
-	case whinknot.ActCancel:
+	case forkline.ActCancel:
 		if c != nil && int(a.Attempt) < len(c.attempts) {
 			c.attempts[a.Attempt].callOff()
 		}
-	case whinknot.ActTimer:
+	case forkline.ActTimer:
 		heap.Push(&l.agenda, &due{at: l.now() + a.After, token: a.Token})
-	case whinknot.ActWatch:
+	case forkline.ActWatch:
 		l.watch()
-	case whinknot.ActClose:
+	case forkline.ActClose:
 		l.up.closeAll(a.Server)
-	case whinknot.ActLog:
+	case forkline.ActLog:
 		slog.Info(a.Text)
 	}
 }
@@ -229,7 +229,7 @@
 	}
 	l.ids[c.id] = c
 	l.lastID++
-	c.event.Kind, c.event.Request = whinknot.EvRequest, l.lastID
+	c.event.Kind, c.event.Request = forkline.EvRequest, l.lastID
 	l.calls[l.lastID] = c
 	l.awaitEnd(c)
 	l.handle(&c.event)
@@ -266,7 +266,7 @@
 	c.attempts = append(c.attempts, a)
 	c.open++
 	go func() {
-		outcome, got := whinknot.NotSent, (*answer)(nil)
+		outcome, got := forkline.NotSent, (*answer)(nil)
 		if e != nil {
 			outcome, got = l.up.do(a, e, &c.out, l.time(until))
 		}
@@ -276,14 +276,14 @@
 }
 
 // closed hears how an attempt ended, with the final answer where it gives one.
-func (l *loop) closed(c *call, number int, server uint32, o whinknot.Outcome, got *answer, took time.Duration) {
+func (l *loop) closed(c *call, number int, server uint32, o forkline.Outcome, got *answer, took time.Duration) {
 	c.open--
-	c.mayRun = c.mayRun || o != whinknot.Full && o != whinknot.ConnectFailed && o != whinknot.NotSent
+	c.mayRun = c.mayRun || o != forkline.Full && o != forkline.ConnectFailed && o != forkline.NotSent
 	if got != nil {
 		l.finish(c, *got)
 	}
-	l.handle(&whinknot.Event{
-		Kind: whinknot.EvOutcome, Request: c.event.Request, Attempt: uint16(number), Server: server,
+	l.handle(&forkline.Event{
+		Kind: forkline.EvOutcome, Request: c.event.Request, Attempt: uint16(number), Server: server,
 		Outcome: o, Took: float64(took.Microseconds()) / 1000, Done: c.ended,
 	})
 	l.release(c)
@@ -323,7 +323,7 @@
 		return
 	}
 	c.ended = true
-	l.handle(&whinknot.Event{Kind: whinknot.EvGone, Request: c.event.Request})
+	l.handle(&forkline.Event{Kind: forkline.EvGone, Request: c.event.Request})
 	l.callOff(c)
 	l.release(c)
 }
@@ -347,7 +347,7 @@
 	}
 	l.callOff(c)
 	l.finish(c, a)
-	l.handle(&whinknot.Event{Kind: whinknot.EvGone, Request: c.event.Request})
+	l.handle(&forkline.Event{Kind: forkline.EvGone, Request: c.event.Request})
 }
 
 // giveUpAll does so for every call, as the program must end now; what comes later is refused.
@@ -362,13 +362,13 @@
 }
 
 // list hears what discovery tells.
-func (l *loop) list(list List, kind whinknot.ListKind) {
-	if l.known != nil && kind == whinknot.ListDelta {
-		list, kind = l.known.changed(list), whinknot.ListFull
+func (l *loop) list(list List, kind forkline.ListKind) {
+	if l.known != nil && kind == forkline.ListDelta {
+		list, kind = l.known.changed(list), forkline.ListFull
 	}
 	l.known = nil
-	ev := whinknot.Event{Kind: whinknot.EvList, List: kind}
-	whole := kind != whinknot.ListDelta
+	ev := forkline.Event{Kind: forkline.EvList, List: kind}
+	whole := kind != forkline.ListDelta
 	before := l.listed
 	if whole {
 		l.listed = make(map[uint32]bool, len(list.Targets))
@@ -378,16 +378,16 @@
 		e := l.directory.entry(t)
 		ev.Servers = append(ev.Servers, e)
 		l.up.list(e.Server, t.Endpoint, e.Started, e.State)
-		if e.State == whinknot.Gone {
+		if e.State == forkline.Gone {
 			delete(l.listed, e.Server)
 		} else {
-			l.listed[e.Server] = e.State == whinknot.Ready
+			l.listed[e.Server] = e.State == forkline.Ready
 		}
 	}
 	if whole {
 		for id := range before {
 			if _, ok := l.listed[id]; !ok {
-				l.up.list(id, "", 0, whinknot.Gone)
+				l.up.list(id, "", 0, forkline.Gone)
 			}
 		}
 	}
@@ -404,11 +404,11 @@
 // useKnown makes do with the list of before.
 func (l *loop) useKnown() {
 	if l.known != nil {
-		l.list(*l.known, whinknot.ListCached)
+		l.list(*l.known, forkline.ListCached)
 	}
 }
 
 // listFailed hears that a call to discovery failed or its watch broke.
 func (l *loop) listFailed() {
-	l.handle(&whinknot.Event{Kind: whinknot.EvList, List: whinknot.ListFailed})
+	l.handle(&forkline.Event{Kind: forkline.EvList, List: forkline.ListFailed})
 }
--- a/internal/sidecar/race_test.go
+++ b/internal/sidecar/race_test.go
@@ -15,7 +15,7 @@
 	"testing"
 	"time"
 
-	"whinknot"
+	"forkline"
 )
 
 // Tests of narrow moments: each forces a crossing that else comes once in many thousand requests.
@@ -228,7 +228,7 @@
 func told(s *Sidecar, cfg *Config, state string) {
 	target := cfg.Known.Targets[0]
 	target.State = state
-	s.loop.ask(func() { s.loop.list(List{Targets: []Target{target}}, whinknot.ListDelta) })
+	s.loop.ask(func() { s.loop.list(List{Targets: []Target{target}}, forkline.ListDelta) })
 }
 
 // taken waits until the sidecar holds a request for which holds is true.
@@ -327,7 +327,7 @@
 	s := start(t, cfg)
 	statuses := make(chan int, 3)
 	request := func() *call {
-		return &call{id: "id", event: whinknot.Event{Due: s.loop.now() + 1e6}, reply: func(a answer) { statuses <- a.status }}
+		return &call{id: "id", event: forkline.Event{Due: s.loop.now() + 1e6}, reply: func(a answer) { statuses <- a.status }}
 	}
 	second := request()
 	s.loop.ask(func() { s.loop.take(request()) })
@@ -347,7 +347,7 @@
 	s := undrained(t, echo, nil)
 	statuses := make(chan int, 2)
 	request := func() *call {
-		return &call{id: "id", event: whinknot.Event{Due: s.loop.now() + 1e6}, reply: func(a answer) { statuses <- a.status }}
+		return &call{id: "id", event: forkline.Event{Due: s.loop.now() + 1e6}, reply: func(a answer) { statuses <- a.status }}
 	}
 	old := request()
 	s.loop.ask(func() {
@@ -415,7 +415,7 @@
 	}
 	go s.loop.run()
 	t.Cleanup(func() { close(s.loop.ended) })
-	s.loop.post(func() { s.loop.list(cfg.Known, whinknot.ListCached) })
+	s.loop.post(func() { s.loop.list(cfg.Known, forkline.ListCached) })
 	go s.front.serve(s.listener)
 	return s
 }
@@ -430,10 +430,10 @@
 	t.Helper()
 	io.WriteString(c, firstHalf)
 	eventually(t, "the first half", func() bool {
-		s.front.callers.mu.Lock()
-		defer s.front.callers.mu.Unlock()
-		e := s.front.callers.coming.Back()
-		return e != nil && e.Value.(*caller).RemoteAddr().String() == c.LocalAddr().String()
+		s.front.downstream.mu.Lock()
+		defer s.front.downstream.mu.Unlock()
+		e := s.front.downstream.coming.Back()
+		return e != nil && e.Value.(*downstreamConn).RemoteAddr().String() == c.LocalAddr().String()
 	})
 }
 
@@ -445,7 +445,7 @@
 	comesTo(t, s, c)
 	s.listener.Close()
 	drained := make(chan struct{})
-	go func() { s.front.callers.drain(time.Now().Add(long)); close(drained) }()
+	go func() { s.front.downstream.drain(time.Now().Add(long)); close(drained) }()
 	io.WriteString(c, secondHalf)
 	if res, _ := c.answer(t); res.StatusCode != 200 {
 		t.Errorf("status %d", res.StatusCode)
@@ -476,15 +476,15 @@
 // A request that has come, but that nobody has looked at yet, is not closed upon: neither in a drain nor for another
 // caller near the limit.
 func TestUnseenRequestsAreNotClosedUpon(t *testing.T) {
-	for name, end := range map[string]func(*callers){
-		"drain": func(cs *callers) {
+	for name, end := range map[string]func(*downstream){
+		"drain": func(cs *downstream) {
 			cs.mu.Lock()
 			defer cs.mu.Unlock()
 			for e := cs.quiet.Front(); e != nil; e = cs.quiet.Front() {
-				cs.ask(e.Value.(*caller))
+				cs.ask(e.Value.(*downstreamConn))
 			}
 		},
-		"limit": func(cs *callers) {
+		"limit": func(cs *downstream) {
 			cs.mu.Lock()
 			defer cs.mu.Unlock()
 			cs.oneGivesWay()
@@ -504,12 +504,12 @@
 			c.send("GET", "read", "")
 			<-at
 			eventually(t, "the request", func() bool {
-				s.front.callers.mu.Lock()
-				defer s.front.callers.mu.Unlock()
-				e := s.front.callers.quiet.Front()
-				return e != nil && (late || e.Value.(*caller).unread())
+				s.front.downstream.mu.Lock()
+				defer s.front.downstream.mu.Unlock()
+				e := s.front.downstream.quiet.Front()
+				return e != nil && (late || e.Value.(*downstreamConn).unread())
 			})
-			end(s.front.callers)
+			end(s.front.downstream)
 			close(on)
 			if res, _ := c.answer(t); res.StatusCode != 200 {
 				t.Errorf("%s, late %v: status %d", name, late, res.StatusCode)
@@ -520,8 +520,8 @@
 
 // Near the limit a request that has begun to come does not give way to a new caller.
 func TestComingRequestsDoNotGiveWay(t *testing.T) {
-	s, _ := serving(t, func(s *Sidecar) { s.front.callers.most, s.front.callers.slow = 2*spareCallers, time.Hour })
-	callers := make([]*client, 2*spareCallers)
+	s, _ := serving(t, func(s *Sidecar) { s.front.downstream.most, s.front.downstream.slow = 2*spareDownstream, time.Hour })
+	callers := make([]*client, 2*spareDownstream)
 	for i := range callers {
 		callers[i] = dial(t, s)
 		comesTo(t, s, callers[i])
@@ -603,7 +603,7 @@
 	<-ln.has
 	ln.Close()
 	drained := make(chan struct{})
-	go func() { s.front.callers.drain(time.Now().Add(long)); close(drained) }()
+	go func() { s.front.downstream.drain(time.Now().Add(long)); close(drained) }()
 	select {
 	case <-drained:
 		t.Error("the program would end with a request that waits")
@@ -644,8 +644,8 @@
 
 // A request that is sent too slowly keeps nobody out.
 func TestSlowRequestsGiveWay(t *testing.T) {
-	s, _ := serving(t, func(s *Sidecar) { s.front.callers.most, s.front.callers.slow = 2*spareCallers, 0 })
-	for range 2 * spareCallers {
+	s, _ := serving(t, func(s *Sidecar) { s.front.downstream.most, s.front.downstream.slow = 2*spareDownstream, 0 })
+	for range 2 * spareDownstream {
 		comesTo(t, s, dial(t, s))
 	}
 	c := dial(t, s)
@@ -673,7 +673,7 @@
 	u.rest = time.Hour
 	serves := func(want string) {
 		t.Helper()
-		if got, a := attemptOn(u, long); got != whinknot.OK || string(a.body) != want {
+		if got, a := attemptOn(u, long); got != forkline.OK || string(a.body) != want {
 			t.Fatalf("outcome %v, answer %v, want that of connection %s", got, a, want)
 		}
 	}
@@ -719,14 +719,14 @@
 		}
 	}()
 	u := pool(ln.Addr().String(), 4)
-	if got, _ := attemptOn(u, long); got != whinknot.OK {
+	if got, _ := attemptOn(u, long); got != forkline.OK {
 		t.Fatalf("outcome %v", got)
 	}
 	u.hold = long
 	out := get()
 	out.once = true
 	got, a := u.do(newAttempt(time.Time{}), u.find(1), out, time.Now().Add(long))
-	if got != whinknot.OK || string(a.body) != "1" {
+	if got != forkline.OK || string(a.body) != "1" {
 		t.Errorf("outcome %v, answer %v, want that of the second connection", got, a)
 	}
 }
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -9,8 +9,8 @@
 	"net"
 	"time"
 
-	"whinknot"
-	"whinknot/internal/wire"
+	"forkline"
+	"forkline/internal/wire"
 )
 
 // Config is all that a sidecar is told at its start.
@@ -29,38 +29,38 @@
 func reserved(sockets int) int { return 16 + sockets/32 }
 
 const (
-	callerPart = 0.6  // of the other descriptors; endpoints get the rest
-	killAfter  = 0.7  // seconds from the longest deadline to SIGKILL
-	killMost   = 3.0  // longest deadline that SIGKILL waits for
-	exitBefore = 0.35 // seconds before SIGKILL at which what is left is given up
+	downstreamPart = 0.6  // of the other descriptors; endpoints get the rest
+	killAfter      = 0.7  // seconds from the longest deadline to SIGKILL
+	killMost       = 3.0  // longest deadline that SIGKILL waits for
+	exitBefore     = 0.35 // seconds before SIGKILL at which what is left is given up
 )
 
 // Sidecar is one running copy.
 type Sidecar struct {
-	cfg       Config
-	loop      *loop
-	front     *front
-	discovery *discovery
-	listener  net.Listener
-	callers   int           // connections that callers may hold
-	patience  time.Duration // see agentFirst
+	cfg        Config
+	loop       *loop
+	front      *front
+	discovery  *discovery
+	listener   net.Listener
+	downstream int           // connections that callers may hold
+	patience   time.Duration // see agentFirst
 }
 
 // New checks what the sidecar is told and opens its listener; requests wait there until Run.
 func New(cfg Config) (*Sidecar, error) {
 	free := cfg.Sockets - reserved(cfg.Sockets)
-	s := &Sidecar{cfg: cfg, callers: int(callerPart * float64(free))}
+	s := &Sidecar{cfg: cfg, downstream: int(downstreamPart * float64(free))}
 	set := &s.cfg.Site.Settings
 	var err error
-	if s.loop, err = newLoop(&s.cfg, newUpstream(set.Limits, set.Safety.DrainGrace, free-s.callers)); err != nil {
+	if s.loop, err = newLoop(&s.cfg, newUpstream(set.Limits, set.Safety.DrainGrace, free-s.downstream)); err != nil {
 		return nil, err
 	}
 	s.discovery = &discovery{
 		addr: cfg.Discovery, rev: cfg.Known.Rev, silence: watchSilence,
 		tell: func(list List) {
-			kind := whinknot.ListDelta
+			kind := forkline.ListDelta
 			if list.All {
-				kind = whinknot.ListFull
+				kind = forkline.ListFull
 			}
 			s.loop.post(func() { s.loop.list(list, kind) })
 		},
@@ -69,7 +69,7 @@
 	if !set.ListOnRequest {
 		s.discovery.call, s.patience = agentTime, agentFirst
 	}
-	s.front = newFront(s.loop, set, s.callers)
+	s.front = newFront(s.loop, set, s.downstream)
 	if s.listener, err = net.Listen("tcp", cfg.Listen); err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
@@ -83,7 +83,7 @@
 	defer close(s.loop.ended)
 	s.loop.watch = func() { go s.discovery.once(watching) }
 	if s.cfg.Site.Settings.ListOnRequest {
-		s.loop.post(func() { s.loop.list(s.cfg.Known, whinknot.ListCached) }) // ahead of what the watch tells
+		s.loop.post(func() { s.loop.list(s.cfg.Known, forkline.ListCached) }) // ahead of what the watch tells
 	} else {
 		// What the agent has counts as told from the first moment on. So nothing is sent by the list of before until
 		// the agent has changed it, or has said nothing for too long.
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -18,8 +18,8 @@
 	"testing"
 	"time"
 
-	"whinknot"
-	"whinknot/internal/wire"
+	"forkline"
+	"forkline/internal/wire"
 )
 
 const settings = `{"balancers": 1, "stages": ["a"], "zones": ["z"], "kinds": ["k"],
@@ -171,7 +171,7 @@
 // The module must be told a due time that leaves room for the way back, and never one after the class's own.
 func TestDueTimes(t *testing.T) {
 	cfg := config(t)
-	l, err := newLoop(&cfg, newUpstream(whinknot.Limits{}, 0, 4))
+	l, err := newLoop(&cfg, newUpstream(forkline.Limits{}, 0, 4))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -275,7 +275,7 @@
 // The backstop refuses only what cannot have run, and answers once.
 func TestBackstopIsHonest(t *testing.T) {
 	cfg := config(t)
-	l, err := newLoop(&cfg, newUpstream(whinknot.Limits{}, 0, 4))
+	l, err := newLoop(&cfg, newUpstream(forkline.Limits{}, 0, 4))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -369,7 +369,7 @@
 	}
 	s.patience = 0
 	go s.loop.run()
-	s.loop.post(func() { s.loop.list(cfg.Known, whinknot.ListCached) })
+	s.loop.post(func() { s.loop.list(cfg.Known, forkline.ListCached) })
 	go s.front.serve(s.listener)
 	c := dial(t, s)
 	c.send("POST", "pay", "1")
@@ -386,7 +386,7 @@
 func TestALoneSidecarServesOn(t *testing.T) {
 	closing := func(copies int) time.Duration {
 		s := &Sidecar{cfg: Config{}}
-		s.cfg.Site.Settings = whinknot.Settings{Copies: copies, Classes: []whinknot.Class{{GiveUp: 6000}}}
+		s.cfg.Site.Settings = forkline.Settings{Copies: copies, Classes: []forkline.Class{{GiveUp: 6000}}}
 		return s.last() - newFront(nil, &s.cfg.Site.Settings, 1).finishing()
 	}
 	if alone, untold, one := closing(1), closing(0), closing(2); alone != 2850*time.Millisecond || untold != alone || one >= alone {
@@ -407,7 +407,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go s.Run(ctx)
-	for range 2 * s.callers {
+	for range 2 * s.downstream {
 		dial(t, s)
 	}
 	c := dial(t, s)
@@ -604,13 +604,13 @@
 // A whole list takes away what it does not name.
 func TestWholeListReplaces(t *testing.T) {
 	cfg := config(t, "127.0.0.1:1", "127.0.0.1:2")
-	l, err := newLoop(&cfg, newUpstream(whinknot.Limits{}, 0, 4))
+	l, err := newLoop(&cfg, newUpstream(forkline.Limits{}, 0, 4))
 	if err != nil {
 		t.Fatal(err)
 	}
-	l.list(cfg.Known, whinknot.ListCached)
+	l.list(cfg.Known, forkline.ListCached)
 	first, second := l.directory.id("s-0"), l.directory.id("s-1")
-	l.list(List{Targets: cfg.Known.Targets[1:]}, whinknot.ListFull)
+	l.list(List{Targets: cfg.Known.Targets[1:]}, forkline.ListFull)
 	if l.usable != 1 || l.up.find(first) != nil || l.up.find(second) == nil {
 		t.Errorf("%d usable of one that is listed", l.usable)
 	}
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -16,7 +16,7 @@
 	"syscall"
 	"time"
 
-	"whinknot"
+	"forkline"
 )
 
 // http.Transport would send a GET, or a POST with an Idempotency-Key, once more by itself when a reused
@@ -86,7 +86,7 @@
 }
 
 // newUpstream makes a pool of at most so many connections.
-func newUpstream(l whinknot.Limits, drainGrace float64, most int) *upstream {
+func newUpstream(l forkline.Limits, drainGrace float64, most int) *upstream {
 	u := &upstream{
 		dialTimeout: defaultDial, idleLimit: defaultIdle, most: most, grace: millis(gracePart * drainGrace),
 		hold: holdTime, rest: restTime, endpoints: map[uint32]*endpoint{},
@@ -103,7 +103,7 @@
 
 // list notes where a server is and whether it wants requests. Idle connections to one that
 // does not, that moved or that started anew are of no more use.
-func (u *upstream) list(id uint32, addr string, started float64, state whinknot.ServerState) {
+func (u *upstream) list(id uint32, addr string, started float64, state forkline.ServerState) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	e := u.endpoints[id]
@@ -115,11 +115,11 @@
 		e = &endpoint{addr: addr, started: started}
 		u.endpoints[id] = e
 	}
-	e.ready = state == whinknot.Ready
+	e.ready = state == forkline.Ready
 	if !e.ready {
 		u.closeIdle(e)
 	}
-	if state == whinknot.Gone {
+	if state == forkline.Gone {
 		delete(u.endpoints, id)
 	}
 }
@@ -179,15 +179,15 @@
 }
 
 // do carries one attempt out and tells how it ended, as the module names it.
-func (u *upstream) do(a *attempt, e *endpoint, out *outgoing, until time.Time) (whinknot.Outcome, *answer) {
+func (u *upstream) do(a *attempt, e *endpoint, out *outgoing, until time.Time) (forkline.Outcome, *answer) {
 	defer a.cancel()
 	for {
 		c, err := u.connect(a.ctx, e, until, out.once)
 		if err != nil {
 			if a.ctx.Err() != nil {
-				return whinknot.Cancelled, nil
+				return forkline.Cancelled, nil
 			}
-			return whinknot.ConnectFailed, nil
+			return forkline.ConnectFailed, nil
 		}
 		stop := context.AfterFunc(a.ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
 		outcome, got, keep := exchange(a, c, out, until, u.hold)
@@ -200,14 +200,14 @@
 			u.put(c)
 		}
 		// An idle connection that broke, or was spoilt, before the request was whole has carried no attempt: on to the next.
-		if outcome != whinknot.ConnectFailed || !c.dropped && !c.spoilt || c.idle == 0 {
+		if outcome != forkline.ConnectFailed || !c.dropped && !c.spoilt || c.idle == 0 {
 			return outcome, got
 		}
 	}
 }
 
 // exchange writes the request, waits for the answer and tells whether the connection can be used again.
-func exchange(a *attempt, c *conn, out *outgoing, until time.Time, hold time.Duration) (whinknot.Outcome, *answer, bool) {
+func exchange(a *attempt, c *conn, out *outgoing, until time.Time, hold time.Duration) (forkline.Outcome, *answer, bool) {
 	c.SetDeadline(until)
 	var text bytes.Buffer
 	text.Grow(len(out.start) + len(out.body) + 512)
@@ -220,54 +220,54 @@
 	text.WriteString("\r\n")
 	text.Write(out.body)
 	if !a.claim() {
-		return whinknot.Cancelled, nil, false
+		return forkline.Cancelled, nil, false
 	}
 	if !a.begin.IsZero() && time.Now().After(a.begin) {
-		return whinknot.ConnectFailed, nil, true // its endpoint may have been told to drain meanwhile
+		return forkline.ConnectFailed, nil, true // its endpoint may have been told to drain meanwhile
 	}
 	whole := text.Bytes()
 	if out.once { // nothing has run before the last byte is there: it waits until a broken connection would show
 		last := len(whole) - 1
 		if err := write(c, whole[:last], hold); err != nil {
-			c.dropped = brokenOff(a, err, whinknot.Reset) == whinknot.Reset
-			return brokenOff(a, err, whinknot.ConnectFailed), nil, false
+			c.dropped = brokenOff(a, err, forkline.Reset) == forkline.Reset
+			return brokenOff(a, err, forkline.ConnectFailed), nil, false
 		}
 		if c.idle > 0 && c.reader.Buffered() > 0 { // a second answer to a request before
 			c.spoilt = true
-			return whinknot.ConnectFailed, nil, false
+			return forkline.ConnectFailed, nil, false
 		}
 		whole = whole[last:]
 		c.SetDeadline(until)
 		if !a.claim() {
-			return whinknot.Cancelled, nil, false
+			return forkline.Cancelled, nil, false
 		}
 	}
 	if err := write(c, whole, 0); err != nil {
-		c.dropped = brokenOff(a, err, whinknot.Reset) == whinknot.Reset
-		return brokenOff(a, err, whinknot.ConnectFailed), nil, false
+		c.dropped = brokenOff(a, err, forkline.Reset) == forkline.Reset
+		return brokenOff(a, err, forkline.ConnectFailed), nil, false
 	}
 	written := time.Now()
 	if _, err := c.reader.Peek(1); err != nil {
-		outcome := brokenOff(a, err, whinknot.Reset)
-		c.dropped = outcome == whinknot.Reset && time.Since(written) < dropTime
+		outcome := brokenOff(a, err, forkline.Reset)
+		c.dropped = outcome == forkline.Reset && time.Since(written) < dropTime
 		return outcome, nil, false
 	}
 	// What cannot be read whole may have run, whatever its head says.
 	status, m, body, err := readAnswer(c.reader)
 	if err != nil {
-		return brokenOff(a, err, whinknot.Reset), nil, false
+		return brokenOff(a, err, forkline.Reset), nil, false
 	}
 	// Bytes behind a sound answer do not spoil it, but no answer read after them can be trusted.
 	keep := m.lasts() && c.reader.Buffered() == 0 && stillOpen(c.Conn)
 	switch {
 	case status == http.StatusOK:
-		return whinknot.OK, &answer{status: status, header: endToEnd(m.header), body: body}, keep
+		return forkline.OK, &answer{status: status, header: endToEnd(m.header), body: body}, keep
 	case (status == http.StatusServiceUnavailable || status == http.StatusGatewayTimeout) && m.header.Get("X-Not-Run") == "1":
-		return whinknot.Full, nil, keep
+		return forkline.Full, nil, keep
 	case status/100 == 4: // the request's own fault: no other endpoint would serve it, and this one is sound
-		return whinknot.Cancelled, &answer{status: status}, keep
+		return forkline.Cancelled, &answer{status: status}, keep
 	}
-	return whinknot.Error, nil, keep
+	return forkline.Error, nil, keep
 }
 
 // write writes all of the text, and then looks for so long whether the connection breaks.
@@ -284,12 +284,12 @@
 
 // brokenOff names the outcome of an exchange that ended with an error: called off, out of time, or broken.
 // A request that was not written whole never ran, whatever stopped it.
-func brokenOff(a *attempt, err error, broken whinknot.Outcome) whinknot.Outcome {
+func brokenOff(a *attempt, err error, broken forkline.Outcome) forkline.Outcome {
 	switch {
 	case a.ctx.Err() != nil:
-		return whinknot.Cancelled
-	case broken == whinknot.Reset && errors.Is(err, os.ErrDeadlineExceeded):
-		return whinknot.Timeout
+		return forkline.Cancelled
+	case broken == forkline.Reset && errors.Is(err, os.ErrDeadlineExceeded):
+		return forkline.Timeout
 	}
 	return broken
 }
--- a/internal/sidecar/upstream_test.go
+++ b/internal/sidecar/upstream_test.go
@@ -10,7 +10,7 @@
 	"testing"
 	"time"
 
-	"whinknot"
+	"forkline"
 )
 
 const long = 10 * time.Second // no test that passes waits for so long
@@ -63,13 +63,13 @@
 }
 
 // attemptOn carries out one attempt on the server 1 of u.
-func attemptOn(u *upstream, wait time.Duration) (whinknot.Outcome, *answer) {
+func attemptOn(u *upstream, wait time.Duration) (forkline.Outcome, *answer) {
 	return u.do(newAttempt(time.Time{}), u.find(1), get(), time.Now().Add(wait))
 }
 
 func pool(addr string, most int) *upstream {
-	u := newUpstream(whinknot.Limits{}, 0, most)
-	u.list(1, addr, 0, whinknot.Ready)
+	u := newUpstream(forkline.Limits{}, 0, most)
+	u.list(1, addr, 0, forkline.Ready)
 	u.rest = 0 // tests use connections again at once
 	return u
 }
@@ -80,36 +80,36 @@
 	for _, c := range []struct {
 		name string
 		does string // what is written before the connection ends
-		want whinknot.Outcome
+		want forkline.Outcome
 	}{
-		{"served", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi", whinknot.OK},
-		{"error", "HTTP/1.1 500 E\r\nContent-Length: 0\r\n\r\n", whinknot.Error},
-		{"turned away", "HTTP/1.1 503 U\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", whinknot.Full},
-		{"over already", "HTTP/1.1 504 G\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", whinknot.Full},
-		{"503 that does not say so", "HTTP/1.1 503 U\r\nContent-Length: 0\r\n\r\n", whinknot.Error},
-		{"500 is no turning away", "HTTP/1.1 500 E\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", whinknot.Error},
-		{"the request's own fault", "HTTP/1.1 400 B\r\nContent-Length: 0\r\n\r\n", whinknot.Cancelled},
-		{"closed unanswered", "", whinknot.Reset},
-		{"cut in the header", "HTTP/1.1 200 OK\r\nContent-", whinknot.Reset},
-		{"cut in the body", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhi", whinknot.Reset},
-		{"cut in a chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n", whinknot.Reset},
-		{"body over the limit", "HTTP/1.1 200 OK\r\nContent-Length: 65537\r\n\r\n" + strings.Repeat("x", maxBody+1), whinknot.Reset},
-		{"body without end", "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nxyz", whinknot.Reset},
-		{"chunks over the limit", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n10001\r\n" + strings.Repeat("x", maxBody+1), whinknot.Reset},
-		{"chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\nX-T: 1\r\n\r\n", whinknot.OK},
-		{"no length", "HTTP/1.1 200 OK\r\n\r\nhi", whinknot.Reset}, // it may have been cut off
-		{"two lengths", "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nhi", whinknot.Reset},
-		{"length and chunks", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", whinknot.Reset},
-		{"negative length", "HTTP/1.1 200 OK\r\nContent-Length: -2\r\n\r\nhi", whinknot.Reset},
-		{"noise", "\x16\x03\x01\x00\n\n\n\n", whinknot.Reset},
-		{"no status", "HTTP/1.1 OK 200\r\nContent-Length: 2\r\n\r\nhi", whinknot.Reset},
-		{"another protocol", "ICY 200 OK\r\nContent-Length: 2\r\n\r\nhi", whinknot.Reset},
-		{"a header that is none", "HTTP/1.1 200 OK\r\nno colon\r\nContent-Length: 2\r\n\r\nhi", whinknot.Reset},
-		{"head without end", "HTTP/1.1 200 OK\r\n" + strings.Repeat("X-Pad: p\r\n", maxHead), whinknot.Reset},
-		{"spoilt, yet said not to have run", "HTTP/1.1 503 U\r\nX-Not-Run: 1\r\nContent-Length: 9\r\n\r\nhi", whinknot.Reset},
-		{"interim answers ahead", "HTTP/1.1 100 C\r\n\r\nHTTP/1.1 103 E\r\nLink: </a>\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi", whinknot.OK},
-		{"interim answers without end", strings.Repeat("HTTP/1.1 103 E\r\n\r\n", maxInterim+1), whinknot.Reset},
-		{"another copy behind", strings.Repeat("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi", 2), whinknot.OK},
+		{"served", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi", forkline.OK},
+		{"error", "HTTP/1.1 500 E\r\nContent-Length: 0\r\n\r\n", forkline.Error},
+		{"turned away", "HTTP/1.1 503 U\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", forkline.Full},
+		{"over already", "HTTP/1.1 504 G\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", forkline.Full},
+		{"503 that does not say so", "HTTP/1.1 503 U\r\nContent-Length: 0\r\n\r\n", forkline.Error},
+		{"500 is no turning away", "HTTP/1.1 500 E\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", forkline.Error},
+		{"the request's own fault", "HTTP/1.1 400 B\r\nContent-Length: 0\r\n\r\n", forkline.Cancelled},
+		{"closed unanswered", "", forkline.Reset},
+		{"cut in the header", "HTTP/1.1 200 OK\r\nContent-", forkline.Reset},
+		{"cut in the body", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhi", forkline.Reset},
+		{"cut in a chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n", forkline.Reset},
+		{"body over the limit", "HTTP/1.1 200 OK\r\nContent-Length: 65537\r\n\r\n" + strings.Repeat("x", maxBody+1), forkline.Reset},
+		{"body without end", "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nxyz", forkline.Reset},
+		{"chunks over the limit", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n10001\r\n" + strings.Repeat("x", maxBody+1), forkline.Reset},
+		{"chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\nX-T: 1\r\n\r\n", forkline.OK},
+		{"no length", "HTTP/1.1 200 OK\r\n\r\nhi", forkline.Reset}, // it may have been cut off
+		{"two lengths", "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nhi", forkline.Reset},
+		{"length and chunks", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", forkline.Reset},
+		{"negative length", "HTTP/1.1 200 OK\r\nContent-Length: -2\r\n\r\nhi", forkline.Reset},
+		{"noise", "\x16\x03\x01\x00\n\n\n\n", forkline.Reset},
+		{"no status", "HTTP/1.1 OK 200\r\nContent-Length: 2\r\n\r\nhi", forkline.Reset},
+		{"another protocol", "ICY 200 OK\r\nContent-Length: 2\r\n\r\nhi", forkline.Reset},
+		{"a header that is none", "HTTP/1.1 200 OK\r\nno colon\r\nContent-Length: 2\r\n\r\nhi", forkline.Reset},
+		{"head without end", "HTTP/1.1 200 OK\r\n" + strings.Repeat("X-Pad: p\r\n", maxHead), forkline.Reset},
+		{"spoilt, yet said not to have run", "HTTP/1.1 503 U\r\nX-Not-Run: 1\r\nContent-Length: 9\r\n\r\nhi", forkline.Reset},
+		{"interim answers ahead", "HTTP/1.1 100 C\r\n\r\nHTTP/1.1 103 E\r\nLink: </a>\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi", forkline.OK},
+		{"interim answers without end", strings.Repeat("HTTP/1.1 103 E\r\n\r\n", maxInterim+1), forkline.Reset},
+		{"another copy behind", strings.Repeat("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi", 2), forkline.OK},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			ln := script(t, func(_ int, conn net.Conn, _ *http.Request) bool {
@@ -117,11 +117,11 @@
 				return false
 			})
 			got, a := attemptOn(pool(ln.Addr().String(), 4), long)
-			final := c.want == whinknot.OK || c.want == whinknot.Cancelled
+			final := c.want == forkline.OK || c.want == forkline.Cancelled
 			if got != c.want || (a != nil) != final {
 				t.Fatalf("outcome %v with answer %v, want %v", got, a, c.want)
 			}
-			if got == whinknot.OK && string(a.body) != "hi" {
+			if got == forkline.OK && string(a.body) != "hi" {
 				t.Errorf("body %q", a.body)
 			}
 		})
@@ -130,14 +130,14 @@
 		release := make(chan struct{})
 		defer close(release)
 		ln := script(t, func(int, net.Conn, *http.Request) bool { <-release; return false })
-		if got, _ := attemptOn(pool(ln.Addr().String(), 4), time.Second); got != whinknot.Timeout {
+		if got, _ := attemptOn(pool(ln.Addr().String(), 4), time.Second); got != forkline.Timeout {
 			t.Errorf("outcome %v, want a timeout", got)
 		}
 	})
 	t.Run("refused", func(t *testing.T) {
 		ln := listen(t)
 		ln.Close()
-		if got, _ := attemptOn(pool(ln.Addr().String(), 4), long); got != whinknot.ConnectFailed {
+		if got, _ := attemptOn(pool(ln.Addr().String(), 4), long); got != forkline.ConnectFailed {
 			t.Errorf("outcome %v, want a failed connect", got)
 		}
 	})
@@ -155,10 +155,10 @@
 		return true
 	})
 	u := pool(ln.Addr().String(), 4)
-	if got, _ := attemptOn(u, long); got != whinknot.OK {
+	if got, _ := attemptOn(u, long); got != forkline.OK {
 		t.Fatalf("first outcome %v", got)
 	}
-	if got, _ := attemptOn(u, long); got != whinknot.Reset {
+	if got, _ := attemptOn(u, long); got != forkline.Reset {
 		t.Errorf("second outcome %v, want a reset", got)
 	}
 	if a, b := <-requests, <-requests; a != 0 || b != 0 || len(requests) != 0 {
@@ -189,7 +189,7 @@
 	for stillOpen(idle[0].Conn) { // until the end of the stream has come over the loopback
 		time.Sleep(time.Millisecond)
 	}
-	if got, _ := attemptOn(u, long); got != whinknot.OK {
+	if got, _ := attemptOn(u, long); got != forkline.OK {
 		t.Errorf("outcome %v, want the request served on a new connection", got)
 	}
 	if u.open != 1 {
@@ -217,7 +217,7 @@
 		out := get()
 		out.header.Set("X-Request-Id", id)
 		out.once = once
-		if got, _ := u.do(newAttempt(time.Time{}), u.find(1), out, time.Now().Add(long)); (got == whinknot.OK) == (id == "drop") {
+		if got, _ := u.do(newAttempt(time.Time{}), u.find(1), out, time.Now().Add(long)); (got == forkline.OK) == (id == "drop") {
 			t.Fatalf("outcome %v", got)
 		}
 		return <-requests
@@ -273,7 +273,7 @@
 	}()
 	u := pool(ln.Addr().String(), 4)
 	u.hold = long
-	for i, want := range []whinknot.Outcome{whinknot.OK, whinknot.OK, whinknot.ConnectFailed} {
+	for i, want := range []forkline.Outcome{forkline.OK, forkline.OK, forkline.ConnectFailed} {
 		out := get()
 		out.header.Set("X-Request-Id", fmt.Sprint("-", i))
 		out.once = true
@@ -328,7 +328,7 @@
 	}
 	a := newAttempt(time.Time{})
 	a.callOff()
-	if got, _, _ := exchange(a, c, get(), time.Now().Add(long), 0); got != whinknot.Cancelled {
+	if got, _, _ := exchange(a, c, get(), time.Now().Add(long), 0); got != forkline.Cancelled {
 		t.Errorf("outcome %v", got)
 	}
 	c.Close()
@@ -349,7 +349,7 @@
 	u := pool(ln.Addr().String(), 4)
 	a := newAttempt(time.Time{})
 	go func() { <-came; a.callOff() }()
-	if got, _ := u.do(a, u.find(1), get(), time.Now().Add(long)); got != whinknot.Cancelled {
+	if got, _ := u.do(a, u.find(1), get(), time.Now().Add(long)); got != forkline.Cancelled {
 		t.Errorf("outcome %v", got)
 	}
 	select {
@@ -366,7 +366,7 @@
 	ln := script(t, func(int, net.Conn, *http.Request) bool { requests <- struct{}{}; return false })
 	u := pool(ln.Addr().String(), 4)
 	a := newAttempt(time.Now().Add(-time.Millisecond))
-	if got, _ := u.do(a, u.find(1), get(), time.Now().Add(long)); got != whinknot.ConnectFailed {
+	if got, _ := u.do(a, u.find(1), get(), time.Now().Add(long)); got != forkline.ConnectFailed {
 		t.Errorf("outcome %v", got)
 	}
 	if len(u.find(1).idle) != 1 {
@@ -391,12 +391,12 @@
 	}
 	first, second := script(t, serve), script(t, serve)
 	u := pool(first.Addr().String(), 1)
-	u.list(2, second.Addr().String(), 0, whinknot.Ready)
+	u.list(2, second.Addr().String(), 0, forkline.Ready)
 	attemptOn(u, long)
 	if len(u.find(1).idle) != 1 {
 		t.Fatal("no idle connection to begin with")
 	}
-	done := make(chan whinknot.Outcome)
+	done := make(chan forkline.Outcome)
 	go func() {
 		out := get()
 		out.header.Set("X-Request-Id", "hold")
@@ -404,11 +404,11 @@
 		done <- got
 	}()
 	<-held
-	if got, _ := attemptOn(u, long); got != whinknot.ConnectFailed {
+	if got, _ := attemptOn(u, long); got != forkline.ConnectFailed {
 		t.Errorf("outcome %v with no descriptor left", got)
 	}
 	close(hold)
-	if got := <-done; got != whinknot.OK || u.open != 1 {
+	if got := <-done; got != forkline.OK || u.open != 1 {
 		t.Errorf("outcome %v with %d connections, want it served in place of the idle one", got, u.open)
 	}
 }
@@ -421,10 +421,10 @@
 	})
 	addr := ln.Addr().String()
 	for name, change := range map[string]func(u *upstream){
-		"draining":  func(u *upstream) { u.list(1, addr, 0, whinknot.Draining) },
-		"gone":      func(u *upstream) { u.list(1, addr, 0, whinknot.Gone) },
-		"restarted": func(u *upstream) { u.list(1, addr, 9, whinknot.Ready) },
-		"moved":     func(u *upstream) { u.list(1, "127.0.0.1:1", 0, whinknot.Ready) },
+		"draining":  func(u *upstream) { u.list(1, addr, 0, forkline.Draining) },
+		"gone":      func(u *upstream) { u.list(1, addr, 0, forkline.Gone) },
+		"restarted": func(u *upstream) { u.list(1, addr, 9, forkline.Ready) },
+		"moved":     func(u *upstream) { u.list(1, "127.0.0.1:1", 0, forkline.Ready) },
 		"closed":    func(u *upstream) { u.closeAll(1) },
 	} {
 		u := pool(addr, 4)
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -9,7 +9,7 @@
 	"io"
 	"math"
 
-	"whinknot"
+	"forkline"
 )
 
 const (
@@ -38,16 +38,16 @@
 	codeRoster       = 11
 )
 
-var outcomes = map[byte]whinknot.Outcome{
-	0: whinknot.OK, 255: whinknot.Error, 254: whinknot.Full, 253: whinknot.Timeout,
-	252: whinknot.ConnectFailed, 251: whinknot.Reset, 250: whinknot.Cancelled, 249: whinknot.NotSent,
+var outcomes = map[byte]forkline.Outcome{
+	0: forkline.OK, 255: forkline.Error, 254: forkline.Full, 253: forkline.Timeout,
+	252: forkline.ConnectFailed, 251: forkline.Reset, 250: forkline.Cancelled, 249: forkline.NotSent,
 }
 
 // Host receives what a batch holds, record by record.
 type Host interface {
 	Start(instance uint16, seed uint64, settings []byte, now float64) error
 	Stop(instance uint16)
-	Event(instance uint16, now float64, ev *whinknot.Event) error
+	Event(instance uint16, now float64, ev *forkline.Event) error
 }
 
 // Batch is one frame of events as read from the pipe.
@@ -60,10 +60,10 @@
 
 // Decoder reads batches and holds the numbered server lists of the process.
 type Decoder struct {
-	lists [maxLists][]whinknot.ServerEntry
+	lists [maxLists][]forkline.ServerEntry
 	known [maxLists]bool
 	body  []byte
-	ev    whinknot.Event
+	ev    forkline.Event
 }
 
 // Read takes the next batch from r; io.EOF means a clean end of input.
@@ -119,7 +119,7 @@
 func (d *Decoder) record(rec, tail []byte, now float64, host Host) error {
 	code, inst := u16(rec), u16(rec[2:])
 	ev := &d.ev
-	*ev = whinknot.Event{}
+	*ev = forkline.Event{}
 	switch code {
 	case codeRoster:
 		return d.roster(rec, tail)
@@ -139,26 +139,26 @@
 			return err
 		}
 	case codeWorkItem:
-		ev.Kind, ev.Request, ev.Class, ev.Tenant = whinknot.EvRequest, u32(rec[4:]), u16(rec[8:]), u16(rec[10:])
+		ev.Kind, ev.Request, ev.Class, ev.Tenant = forkline.EvRequest, u32(rec[4:]), u16(rec[8:]), u16(rec[10:])
 		ev.Key, ev.Due = binary.LittleEndian.Uint64(rec[12:]), f64(rec[20:])
 		if rec[36]&1 != 0 {
 			ev.Hint = f64(rec[28:])
 		}
 	case codeFirstByte:
-		ev.Kind, ev.Request, ev.Attempt = whinknot.EvFirst, u32(rec[4:]), u16(rec[8:])
+		ev.Kind, ev.Request, ev.Attempt = forkline.EvFirst, u32(rec[4:]), u16(rec[8:])
 		ev.Server, ev.Took = u32(rec[10:]), f64(rec[14:])
 	case codeClosed:
-		ev.Kind, ev.Request, ev.Server, ev.Attempt = whinknot.EvOutcome, u32(rec[4:]), u32(rec[9:]), u16(rec[13:])
+		ev.Kind, ev.Request, ev.Server, ev.Attempt = forkline.EvOutcome, u32(rec[4:]), u32(rec[9:]), u16(rec[13:])
 		ev.Took, ev.Done = f64(rec[15:]), rec[23] != 0
 		if err := outcome(rec[8], ev); err != nil {
 			return err
 		}
 	case codeLapsed:
-		ev.Kind, ev.Request = whinknot.EvGone, u32(rec[4:])
+		ev.Kind, ev.Request = forkline.EvGone, u32(rec[4:])
 	case codeFired:
-		ev.Kind, ev.Token = whinknot.EvTimer, binary.LittleEndian.Uint64(rec[4:])
+		ev.Kind, ev.Token = forkline.EvTimer, binary.LittleEndian.Uint64(rec[4:])
 	case codeHealth:
-		ev.Kind, ev.Server, ev.Took = whinknot.EvProbe, u32(rec[4:]), f64(rec[9:])
+		ev.Kind, ev.Server, ev.Took = forkline.EvProbe, u32(rec[4:]), f64(rec[9:])
 		ev.Values = min(int(rec[17]), len(ev.Report))
 		for i := range ev.Values {
 			ev.Report[i] = math.Float32frombits(u32(rec[18+4*i:]))
@@ -172,7 +172,7 @@
 	return host.Event(inst, now, ev)
 }
 
-func outcome(code byte, ev *whinknot.Event) error {
+func outcome(code byte, ev *forkline.Event) error {
 	out, ok := outcomes[code]
 	if !ok {
 		return fmt.Errorf("outcome %d is unknown", code)
@@ -192,12 +192,12 @@
 	}
 	list := d.lists[number][:0]
 	for ; len(raw) > 0; raw = raw[entrySize:] {
-		if raw[9] > byte(whinknot.Gone) {
+		if raw[9] > byte(forkline.Gone) {
 			return fmt.Errorf("list %d: state %d is unknown", number, raw[9])
 		}
-		list = append(list, whinknot.ServerEntry{
+		list = append(list, forkline.ServerEntry{
 			Server: u32(raw), Zone: raw[4], Kind: u16(raw[5:]), Cell: u16(raw[7:]),
-			State:   whinknot.ServerState(raw[9]),
+			State:   forkline.ServerState(raw[9]),
 			Weight:  float64(math.Float32frombits(u32(raw[10:]))),
 			Started: f64(raw[14:]),
 		})
@@ -206,18 +206,18 @@
 	return nil
 }
 
-func (d *Decoder) rosterChange(rec []byte, ev *whinknot.Event) error {
-	ev.Kind = whinknot.EvList
+func (d *Decoder) rosterChange(rec []byte, ev *forkline.Event) error {
+	ev.Kind = forkline.EvList
 	switch rec[12] {
 	case 0:
-		ev.List = whinknot.ListFailed
+		ev.List = forkline.ListFailed
 		return nil
 	case 1:
-		ev.List = whinknot.ListCached
+		ev.List = forkline.ListCached
 	case 2:
-		ev.List = whinknot.ListDelta
+		ev.List = forkline.ListDelta
 	case 3:
-		ev.List = whinknot.ListFull
+		ev.List = forkline.ListFull
 	default:
 		return fmt.Errorf("list kind %d is unknown", rec[12])
 	}
@@ -249,41 +249,41 @@
 func (r *Reply) Reset() { r.records, r.tail, r.count = r.records[:0], r.tail[:0], 0 }
 
 // Add appends one action of an instance.
-func (r *Reply) Add(instance uint16, a *whinknot.Action) {
+func (r *Reply) Add(instance uint16, a *forkline.Action) {
 	rec := r.record(instance)
 	put := binary.LittleEndian
 	code := uint16(0)
 	switch a.Kind {
-	case whinknot.ActSend:
+	case forkline.ActSend:
 		code = 1
 		put.PutUint32(rec[4:], a.Request)
 		put.PutUint32(rec[8:], a.Server)
 		put.PutUint64(rec[12:], math.Float64bits(a.Until))
-	case whinknot.ActRefuse:
+	case forkline.ActRefuse:
 		code = 2
 		put.PutUint32(rec[4:], a.Request)
 		put.PutUint64(rec[8:], math.Float64bits(a.After))
-	case whinknot.ActFail:
+	case forkline.ActFail:
 		code = 3
 		put.PutUint32(rec[4:], a.Request)
-	case whinknot.ActCancel:
+	case forkline.ActCancel:
 		code = 4
 		put.PutUint32(rec[4:], a.Request)
 		put.PutUint16(rec[8:], a.Attempt)
-	case whinknot.ActTimer:
+	case forkline.ActTimer:
 		code = 5
 		put.PutUint64(rec[4:], math.Float64bits(a.After))
 		put.PutUint64(rec[12:], a.Token)
-	case whinknot.ActLog:
+	case forkline.ActLog:
 		code = 9
 		r.text(rec, a.Text)
-	case whinknot.ActProbe:
+	case forkline.ActProbe:
 		code = 6
 		put.PutUint32(rec[4:], a.Server)
-	case whinknot.ActClose:
+	case forkline.ActClose:
 		code = 7
 		put.PutUint32(rec[4:], a.Server)
-	case whinknot.ActWatch:
+	case forkline.ActWatch:
 		code = 11
 		rec[4] = 1
 	}
--- a/internal/wire/frame_test.go
+++ b/internal/wire/frame_test.go
@@ -8,7 +8,7 @@
 	"strings"
 	"testing"
 
-	"whinknot"
+	"forkline"
 )
 
 // recorder keeps what a batch delivers.
@@ -16,7 +16,7 @@
 	started  map[uint16]uint64
 	settings string
 	stopped  []uint16
-	events   []whinknot.Event
+	events   []forkline.Event
 	insts    []uint16
 }
 
@@ -30,9 +30,9 @@
 
 func (r *recorder) Stop(inst uint16) { r.stopped = append(r.stopped, inst) }
 
-func (r *recorder) Event(inst uint16, _ float64, ev *whinknot.Event) error {
+func (r *recorder) Event(inst uint16, _ float64, ev *forkline.Event) error {
 	kept := *ev
-	kept.Servers = append([]whinknot.ServerEntry(nil), ev.Servers...)
+	kept.Servers = append([]forkline.ServerEntry(nil), ev.Servers...)
 	r.insts = append(r.insts, inst)
 	r.events = append(r.events, kept)
 	return nil
@@ -99,10 +99,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	want := []whinknot.Event{
-		{Kind: whinknot.EvRequest, Request: 0x5d3a91c4, Key: 0x91f03b7c55d20a64, Due: 8652.25, Hint: 12},
-		{Kind: whinknot.EvTimer, Token: 77},
-		{Kind: whinknot.EvGone, Request: 0x0e6f2b19},
+	want := []forkline.Event{
+		{Kind: forkline.EvRequest, Request: 0x5d3a91c4, Key: 0x91f03b7c55d20a64, Due: 8652.25, Hint: 12},
+		{Kind: forkline.EvTimer, Token: 77},
+		{Kind: forkline.EvGone, Request: 0x0e6f2b19},
 	}
 	for i, w := range want {
 		got := rec.events[i]
@@ -119,9 +119,9 @@
 
 func TestExampleReply(t *testing.T) {
 	var r Reply
-	r.Add(3, &whinknot.Action{Kind: whinknot.ActSend, Request: 0x5d3a91c4, Server: 0x03124a07, Until: 8492.25})
-	r.Add(3, &whinknot.Action{Kind: whinknot.ActTimer, After: 500, Token: 77})
-	r.Add(5, &whinknot.Action{Kind: whinknot.ActLog, Text: "two servers known"})
+	r.Add(3, &forkline.Action{Kind: forkline.ActSend, Request: 0x5d3a91c4, Server: 0x03124a07, Until: 8492.25})
+	r.Add(3, &forkline.Action{Kind: forkline.ActTimer, After: 500, Token: 77})
+	r.Add(5, &forkline.Action{Kind: forkline.ActLog, Text: "two servers known"})
 	var out bytes.Buffer
 	if err := r.WriteTo(&out, 12); err != nil {
 		t.Fatal(err)
@@ -140,21 +140,21 @@
 func TestGoldenActions(t *testing.T) {
 	for _, c := range []struct {
 		name   string
-		action whinknot.Action
+		action forkline.Action
 		inst   uint16
 		want   string
 	}{
-		{"refuse", whinknot.Action{Kind: whinknot.ActRefuse, Request: 0x0e6f2b19, After: 250}, 3,
+		{"refuse", forkline.Action{Kind: forkline.ActRefuse, Request: 0x0e6f2b19, After: 250}, 3,
 			"0200 0300 192b6f0e 0000000000406f40 0000000000000000"},
-		{"fail", whinknot.Action{Kind: whinknot.ActFail, Request: 0x0e6f2b19}, 3,
+		{"fail", forkline.Action{Kind: forkline.ActFail, Request: 0x0e6f2b19}, 3,
 			"0300 0300 192b6f0e 00000000000000000000000000000000"},
-		{"cancel", whinknot.Action{Kind: whinknot.ActCancel, Request: 0x5d3a91c4}, 3,
+		{"cancel", forkline.Action{Kind: forkline.ActCancel, Request: 0x5d3a91c4}, 3,
 			"0400 0300 c4913a5d 0000 0000000000000000000000000000"},
-		{"probe", whinknot.Action{Kind: whinknot.ActProbe, Server: 0x2c9011f2}, 3,
+		{"probe", forkline.Action{Kind: forkline.ActProbe, Server: 0x2c9011f2}, 3,
 			"0600 0300 f211902c 00000000000000000000000000000000"},
-		{"close", whinknot.Action{Kind: whinknot.ActClose, Server: 0x2c9011f2}, 3,
+		{"close", forkline.Action{Kind: forkline.ActClose, Server: 0x2c9011f2}, 3,
 			"0700 0300 f211902c 00000000000000000000000000000000"},
-		{"watch", whinknot.Action{Kind: whinknot.ActWatch}, 3,
+		{"watch", forkline.Action{Kind: forkline.ActWatch}, 3,
 			"0b00 0300 01 00000000000000000000000000000000000000"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -182,19 +182,19 @@
 		t.Fatal(err)
 	}
 	servers := rec.events[0].Servers
-	if rec.events[0].List != whinknot.ListCached || len(servers) != 2 {
+	if rec.events[0].List != forkline.ListCached || len(servers) != 2 {
 		t.Fatalf("list event %+v", rec.events[0])
 	}
 	if servers[0].Server != 0x03124a07 || servers[0].Weight != 1 || servers[1].Weight != 1.5 || servers[1].Started != 6100 {
 		t.Errorf("servers %+v", servers)
 	}
-	if e := rec.events[1]; e.Kind != whinknot.EvFirst || e.Server != 0x03124a07 || e.Took != 9.25 {
+	if e := rec.events[1]; e.Kind != forkline.EvFirst || e.Server != 0x03124a07 || e.Took != 9.25 {
 		t.Errorf("first %+v", e)
 	}
-	if e := rec.events[2]; e.Kind != whinknot.EvOutcome || e.Outcome != whinknot.OK || e.Took != 18.5 || !e.Done {
+	if e := rec.events[2]; e.Kind != forkline.EvOutcome || e.Outcome != forkline.OK || e.Took != 18.5 || !e.Done {
 		t.Errorf("outcome %+v", e)
 	}
-	if e := rec.events[3]; e.Kind != whinknot.EvProbe || e.Server != 0x2c9011f2 || e.Took != 1.4 {
+	if e := rec.events[3]; e.Kind != forkline.EvProbe || e.Server != 0x2c9011f2 || e.Took != 1.4 {
 		t.Errorf("probe %+v", e)
 	}
 	if len(rec.stopped) != 1 || rec.stopped[0] != 3 {
@@ -280,10 +280,10 @@
 		t.Fatal(err)
 	}
 	c := set.Classes[0]
-	if c.Effect != whinknot.Keyed || c.Group != whinknot.GroupZone || c.Window != 2000 || c.Worth != 1 {
+	if c.Effect != forkline.Keyed || c.Group != forkline.GroupZone || c.Window != 2000 || c.Worth != 1 {
 		t.Errorf("class %+v", c)
 	}
-	if d := set.Classes[1]; d.Effect != whinknot.Unsafe || d.Worth != 0 {
+	if d := set.Classes[1]; d.Effect != forkline.Unsafe || d.Worth != 0 {
 		t.Errorf("an absent effect must be the strictest, a worth of 0 kept: %+v", d)
 	}
 	if set.Copies != 4 || set.Rank != 2 || set.Stage != 1 || set.Stages != 2 || set.Zone != 1 ||
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"slices"
 
-	"whinknot"
+	"forkline"
 )
 
 // envSettings mirrors the settings object of the wire; unknown keys are ignored.
@@ -76,26 +76,26 @@
 	Stream      bool     `json:"stream"`
 }
 
-var effects = map[string]whinknot.Effect{
-	"read_like":       whinknot.Safe,
-	"idempotency_key": whinknot.Keyed,
-	"non_idempotent":  whinknot.Unsafe,
+var effects = map[string]forkline.Effect{
+	"read_like":       forkline.Safe,
+	"idempotency_key": forkline.Keyed,
+	"non_idempotent":  forkline.Unsafe,
 }
 
-var groups = map[string]whinknot.Group{
-	"all":  whinknot.GroupAll,
-	"zone": whinknot.GroupZone,
-	"cell": whinknot.GroupCell,
+var groups = map[string]forkline.Group{
+	"all":  forkline.GroupAll,
+	"zone": forkline.GroupZone,
+	"cell": forkline.GroupCell,
 }
 
 // Site is the settings object with the names that the module knows by number only.
 type Site struct {
-	Settings     whinknot.Settings
+	Settings     forkline.Settings
 	Zones, Kinds []string
 }
 
 // ParseSettings reads the settings object that a start event carries.
-func ParseSettings(text []byte) (whinknot.Settings, error) {
+func ParseSettings(text []byte) (forkline.Settings, error) {
 	site, err := ParseSite(text)
 	return site.Settings, err
 }
@@ -107,7 +107,7 @@
 		return Site{}, fmt.Errorf("settings: %w", err)
 	}
 	l, s := env.Limits, env.Safety
-	set := whinknot.Settings{
+	set := forkline.Settings{
 		Copies:         env.Balancers,
 		Rank:           env.Rank,
 		Stage:          env.Stage,
@@ -118,13 +118,13 @@
 		ProbePrice:     env.Prices.Probe,
 		HeldField:      1 + slices.Index(env.Feedback.Fields, "busy_reqs"),
 		OverShareWorth: orDefault(env.OverShareWorth, 1),
-		Limits: whinknot.Limits{
+		Limits: forkline.Limits{
 			MaxAttempts: l.MaxAttempts, MaxOpen: l.OpenCap, Cancel: l.Cancel,
 			SecondCopies: l.SecondCopies, Probes: l.Probing, RetryAfter: l.RetryAfter,
 			MaxRetryAfter: l.MaxRetryAfter, ConnectTimeout: l.ConnectTimeout,
 			ConnIdle: l.ConnIdle, Streams: l.StreamsPerConn,
 		},
-		Safety: whinknot.Safety{
+		Safety: forkline.Safety{
 			AnswerSlack: s.AnswerSlack, DrainGrace: s.DrainGrace, ColdFrom: s.ColdFrom,
 			Ramp: s.RampTime, FallMultiple: s.FallMultiple, FallAfter: s.TipAfter, AskEvery: s.AskEvery,
 			DrainClose: s.DrainClose, BudgetFree: s.BudgetFree, BudgetShare: s.RepeatRatio, BudgetWindow: s.LookBack,
@@ -141,29 +141,29 @@
 		set.Classes = append(set.Classes, class)
 	}
 	for _, p := range env.Parties {
-		set.Tenants = append(set.Tenants, whinknot.Tenant{Name: p.Name, Quota: p.QuotaPerS})
+		set.Tenants = append(set.Tenants, forkline.Tenant{Name: p.Name, Quota: p.QuotaPerS})
 	}
 	return Site{Settings: set, Zones: env.Zones, Kinds: env.Kinds}, nil
 }
 
 // class turns one class of the settings into the module's; an absent effect is
 // read as unsafe and an absent group as the cell, the strictest of each.
-func (c envClass) class() (whinknot.Class, error) {
+func (c envClass) class() (forkline.Class, error) {
 	effect, ok := effects[c.Effect]
 	if c.Effect == "" {
-		effect, ok = whinknot.Unsafe, true
+		effect, ok = forkline.Unsafe, true
 	}
 	if !ok {
-		return whinknot.Class{}, fmt.Errorf("effect %q is unknown", c.Effect)
+		return forkline.Class{}, fmt.Errorf("effect %q is unknown", c.Effect)
 	}
 	group, ok := groups[c.Group]
 	if c.Group == "" {
-		group, ok = whinknot.GroupCell, true
+		group, ok = forkline.GroupCell, true
 	}
 	if !ok {
-		return whinknot.Class{}, fmt.Errorf("group %q is unknown", c.Group)
+		return forkline.Class{}, fmt.Errorf("group %q is unknown", c.Group)
 	}
-	return whinknot.Class{
+	return forkline.Class{
 		Name: c.Name, Worth: orDefault(c.Worth, 1), LateWorth: c.LateWorth,
 		Aim: c.Aim, AimStretch: c.AimStretch, GiveUp: c.GiveUp,
 		Effect: effect, Group: group, Window: c.DedupWindow, Stream: c.Stream,
