--- /dev/null
+++ b/internal/experiment/result.go
@@ -0,0 +1,69 @@
+package experiment
+
+import "time"
+
+// Result is what a run measured. It is written as one JSON line, with times in milliseconds and sizes in bytes.
+type Result struct {
+	Name      string             `json:"name"`
+	Seed      uint64             `json:"seed"`
+	Version   string             `json:"version"`        // of the program that played it
+	Virtual   float64            `json:"virtual_s"`      // measured virtual time
+	Real      float64            `json:"real_s"`         // time that the run took
+	HeapMB    float64            `json:"heap_mb"`        // most in use by the whole process
+	Processes int                `json:"processes"`      // hollow sidecars
+	PerKB     float64            `json:"per_process_kb"` // heap for each
+	Thinned   map[string]float64 `json:"thinned"`        // services whose calls were played in part, with the share
+	Calls     Calls              `json:"calls"`
+	Services  []ServiceResult    `json:"services"`
+	Control   Control            `json:"control"`
+	Faults    []FaultResult      `json:"faults"`
+	Series    []Second           `json:"series"` // one a second of measured time
+}
+
+// Calls sums up calls over a scope.
+type Calls struct {
+	Asked, Served, InTime, Refused, Failed, Late int64
+	Attempts, Connections                        int64
+	P50, P99, P999                               float64 // ms, of served calls
+	AddedP50, AddedP99, AddedP999                float64 // ms that waiting at sidecars added
+}
+
+// ServiceResult is one service's part.
+type ServiceResult struct {
+	Name      string  `json:"name"`
+	Calls     Calls   `json:"calls"`
+	Falls     int     `json:"falls"`            // cold endpoints that fell under the sum of all sidecars
+	WorstCold float64 `json:"worst_cold_ratio"` // most calls in a window over the allowed count
+}
+
+// Control is the traffic for control: calls for lists, watches, changes.
+type Control struct {
+	CallsPerSecond, PeakCallsPerSecond             float64 // that discovery saw
+	RefusedCalls                                   int64
+	DiscoveryBusy                                  float64 // share of an instance's time, mean
+	PeakQueue                                      int     // calls waiting for their turn
+	SidecarBytesPerSecond, DiscoveryBytesPerSecond float64
+	ModuleMicrosPerCall, ModuleMicrosPerList       float64 // processor time of the real module, as measured in this run
+	SpreadP50, SpreadP99, SpreadMax                float64 // ms from a change to its being in force everywhere
+	ToldMax                                        float64 // ms from discovery's return to the last copy's being answered
+}
+
+// FaultResult tells what a fault cost.
+type FaultResult struct {
+	Fault     string  `json:"fault"`
+	At        float64 `json:"at_ms"`
+	Lost      int64   `json:"lost"`         // calls refused, failed or late between its start and recovery
+	Recovered float64 `json:"recovered_ms"` // from its end until a second is served as before; -1 = not in this run
+	ListCalls int64   `json:"list_calls"`   // that discovery saw between its start and recovery
+	ToldMax   float64 `json:"told_max_ms"`  // from its end until the last sidecar had been answered
+}
+
+// Second is one second of the run.
+type Second struct {
+	At                              float64 `json:"at_s"`
+	Asked, Served, Refused, Failed  int64
+	ListCalls, Changes, Connections int64
+}
+
+// Progress is told about once a second of real time; done and of are virtual.
+type Progress func(done, of time.Duration)
