Let the test of readiness say itself when the old list is used

Cause: TestReady failed once on a busy machine with 503 and one endpoint. Where lists are pushed, the old list is used only after a wait for the agent (Sidecar.Run, patience). The test set that wait to 0, which is still a timer with a goroutine of its own, and asked at once: the two raced. The program is not at fault: before that it has no list to send by, and 503 is right. Ruled out: Run posts the list ahead of the loop where lists are asked for, so readiness can't overtake it there.

Change: the wait does not end by itself, the test ends it on the loop. It is stricter: 503 before, and 200 on the first request after, with no second try; with no endpoint 503 at both times.

--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -302,13 +302,26 @@
 	}
 }
 
-// Ready is told only once there is an endpoint to send to.
+// Ready is told only once there is an endpoint to send to. Where lists are pushed, the list of before is none to send
+// by until the agent has spoken or has been waited for.
 func TestReady(t *testing.T) {
 	for want, addrs := range map[int][]string{503: nil, 200: {"127.0.0.1:1"}} {
-		s := start(t, config(t, addrs...))
-		res, err := http.Get("http://" + s.listener.Addr().String() + "/-/ready")
-		if err != nil || res.StatusCode != want {
-			t.Errorf("%v with %d endpoints, want %d", res, len(addrs), want)
+		s, err := New(config(t, addrs...))
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.patience = time.Hour // the test says when it is over
+		s.front.accept = 0
+		go s.Run(t.Context())
+		for _, c := range []struct {
+			when string
+			want int
+		}{{"before the old list is used", 503}, {"at once after", want}} {
+			res, err := http.Get("http://" + s.listener.Addr().String() + "/-/ready")
+			if err != nil || res.StatusCode != c.want {
+				t.Errorf("%v, %v %s with %d endpoints, want %d", res, err, c.when, len(addrs), c.want)
+			}
+			s.loop.ask(s.loop.useKnown)
 		}
 	}
 }
