Begin no repeat of a keyed request after its class's window

Change: the module tells the latest time for the first byte (Action.Begin) and the sidecar keeps to the earlier of that and the drain's limit.

Result: TestARepeatBeginsWithinItsWindow and TestALateRepeatStaysIn fail without it.

--- a/balancer.go
+++ b/balancer.go
@@ -553,7 +553,11 @@
 	if wait := b.tryTimeout(q, s); wait > 0 {
 		b.setHedge(hedgeTimer{b.now + wait, q.id, uint16(len(q.attempts) - 1)})
 	}
-	b.acts = append(b.acts, Action{Kind: ActSend, Request: q.id, Server: s.Server, Until: q.due})
+	act := Action{Kind: ActSend, Request: q.id, Server: s.Server, Until: q.due}
+	if c := &b.set.Classes[q.class]; q.mayRun && c.Effect == Keyed {
+		act.Begin = q.firstRun + c.Window // a slow connection must not carry a repeat past it
+	}
+	b.acts = append(b.acts, act)
 	return true
 }
 
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -521,6 +521,30 @@
 	}
 }
 
+// A repeat that is decided on in time may be carried late, by a connection that comes up slowly. So it says how late
+// it may begin; no other attempt is bound so.
+func TestARepeatBeginsWithinItsWindow(t *testing.T) {
+	h := start(t, plain(), ids(8)...)
+	for id, class := range []uint16{0, 1} {
+		request := uint32(id + 1)
+		at := h.now
+		first := h.request(request, class)
+		h.now += 200
+		ev := Event{Kind: EvOutcome, Request: request, Server: first[0].Server, Outcome: Reset, Took: 200}
+		again := h.do(ev)
+		if len(again) != 1 || again[0].Kind != ActSend {
+			t.Fatalf("class %d: actions %+v, want a repeat", class, again)
+		}
+		want := 0.0
+		if class == 1 {
+			want = at + 300
+		}
+		if first[0].Begin != 0 || again[0].Begin != want {
+			t.Errorf("class %d: begin by %v, again by %v, want 0 and %v", class, first[0].Begin, again[0].Begin, want)
+		}
+	}
+}
+
 func TestDrainedServerGetsNothing(t *testing.T) {
 	h := start(t, plain(), ids(2)...)
 	h.do(Event{Kind: EvList, List: ListDelta, Servers: []ServerEntry{{Server: 100, State: Draining}}})
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -190,7 +190,7 @@
 	switch a.Kind {
 	case forkline.ActSend:
 		if c != nil {
-			l.send(c, a.Server, a.Until)
+			l.send(c, a)
 		}
 	case forkline.ActRefuse:
 		l.finish(c, answer{status: statusRefused, retryAfter: millis(a.After)})
@@ -257,11 +257,15 @@
 }
 
 // send starts an attempt; its goroutine posts the outcome.
-func (l *loop) send(c *call, server uint32, until float64) {
+func (l *loop) send(c *call, act *forkline.Action) {
+	server, until := act.Server, act.Until
 	sent, begin := time.Now(), time.Time{}
 	if l.up.grace > 0 {
 		begin = sent.Add(l.up.grace)
 	}
+	if latest := l.time(act.Begin); act.Begin > 0 && (begin.IsZero() || latest.Before(begin)) {
+		begin = latest
+	}
 	a, e, number := newAttempt(begin), l.up.find(server), len(c.attempts)
 	c.attempts = append(c.attempts, a)
 	c.open++
--- a/internal/sidecar/upstream_test.go
+++ b/internal/sidecar/upstream_test.go
@@ -377,6 +377,28 @@
 	}
 }
 
+// The module says how late a repeat may begin; the sidecar keeps to it, also where a drain leaves more time or none is
+// told. A late repeat has not run: its call is over or goes elsewhere.
+func TestALateRepeatStaysIn(t *testing.T) {
+	for _, grace := range []float64{0, 1e6} {
+		requests := make(chan struct{}, 1)
+		ln := script(t, func(int, net.Conn, *http.Request) bool { requests <- struct{}{}; return false })
+		cfg := config(t)
+		u := pool(ln.Addr().String(), 4)
+		u.grace = millis(grace)
+		l, err := newLoop(&cfg, u)
+		if err != nil {
+			t.Fatal(err)
+		}
+		now := l.now()
+		l.send(&call{out: *get()}, &forkline.Action{Kind: forkline.ActSend, Server: 1, Until: now + 1e6, Begin: now - 1})
+		(<-l.mail)()
+		if len(requests) != 0 || len(u.find(1).idle) != 1 {
+			t.Errorf("grace %v: the request went out, or its connection was not kept", grace)
+		}
+	}
+}
+
 // At the descriptor limit idle connections give way, and only with none left does an attempt fail,
 // as one that never ran.
 func TestConnectionLimit(t *testing.T) {
