Begin no attempt for a client whose close the machine has seen

Cause: gone reaches the loop through its mail, behind whatever came before, and an attempt's claim asked only whether it was called off. With the loop busy a request was taken from the mail, sent from the queue, sent again after a 503, or had its last byte written, after its client's close had come. Ruled out: that the close goes unseen; leaves sees it also behind unread bytes. In leaving_test.go each moment is forced on a loop that does only what the test gives it; on the code before, all of these sent the request on: in the mail, queued (18 ways), dialling, ahead of the last byte, between attempts (3 ways), behind an earlier copy.

Change: the call asks its caller's socket, without waiting. The loop asks before it gives the module a request or a failed outcome (the module then hears EvGone first), and each attempt right before its first and its last byte; a long request holds its last byte back for that. What was not written whole ends as NotSent. A request of the id of one that left takes its place, and one that waited behind a copy and left makes room for a third: that was turned away with 409.

--- a/internal/sidecar/downstream.go
+++ b/internal/sidecar/downstream.go
@@ -215,6 +215,25 @@
 	return err == nil && left
 }
 
+// hasLeft looks, without waiting, whether the caller has left, as leaves would tell it. Any goroutine may ask, so that
+// a leaving counts before the connection's own goroutine has had its turn.
+func (c *downstreamConn) hasLeft() bool {
+	n, err := peek(c.Conn)
+	switch {
+	case errors.Is(err, syscall.EAGAIN) || errors.Is(err, errors.ErrUnsupported):
+		return false
+	case err != nil || n == 0:
+		return true
+	}
+	raw, err := c.Conn.(syscall.Conn).SyscallConn() // bytes behind the request hide the end from a read
+	if err != nil {
+		return true
+	}
+	left := false
+	err = raw.Control(func(fd uintptr) { left = hungUp(fd) })
+	return err != nil || left
+}
+
 // hungUp looks, without waiting, whether the peer of a socket has ended its sending or reset the connection.
 func hungUp(fd uintptr) bool {
 	const pollRDHup, pollErr, pollHup = 0x2000, 0x8, 0x10
--- a/internal/sidecar/front.go
+++ b/internal/sidecar/front.go
@@ -128,6 +128,7 @@
 	if !f.downstream.begins(c) {
 		return answer{}, false
 	}
+	k.left = c.hasLeft
 	f.loop.post(func() { f.loop.take(k) })
 	if c.leaves() {
 		select {
--- /dev/null
+++ b/internal/sidecar/leaving_test.go
@@ -0,0 +1,472 @@
+package sidecar
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"forkline"
+)
+
+// Tests of clients that leave. In each the loop is kept busy while a client leaves, as on a core that is short or with
+// its mail full: it decides on what waited for it before it hears of the leaving. No attempt may begin all the same.
+
+// seize has the loop busy, once it has done what is in its mail, until it is freed.
+func seize(s *Sidecar) *seized {
+	z := &seized{s, make(chan func()), make(chan struct{})}
+	s.loop.post(func() {
+		for f := range z.work {
+			f()
+			z.done <- struct{}{}
+		}
+	})
+	return z
+}
+
+// seized is a loop that does only what its test gives it.
+type seized struct {
+	s    *Sidecar
+	work chan func()
+	done chan struct{}
+}
+
+func (z *seized) do(f func()) { z.work <- f; <-z.done }
+func (z *seized) free()       { close(z.work) }
+
+// settle waits until every attempt that the loop knows of is over.
+func (z *seized) settle() {
+	var attempts []*attempt
+	z.do(func() {
+		for _, c := range z.s.loop.calls {
+			attempts = append(attempts, c.attempts...)
+		}
+	})
+	for _, a := range attempts {
+		<-a.ctx.Done()
+	}
+}
+
+// leaver is a client together with the sidecar's end of its connection.
+type leaver struct {
+	*client
+	far *net.TCPConn
+}
+
+// watched runs a sidecar that serves its callers through connections which the test can look at, and returns what
+// makes a client of it.
+func watched(t *testing.T, cfg Config, change func(*Sidecar)) (*Sidecar, func(id string) leaver) {
+	t.Helper()
+	s, err := New(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.patience = 0
+	if change != nil {
+		change(s)
+	}
+	far := make(chan *net.TCPConn, 100)
+	hooked(func(c *net.TCPConn) net.Conn { far <- c; return c })(s)
+	ctx, cancel := context.WithCancel(context.Background())
+	go s.Run(ctx)
+	t.Cleanup(func() { s.discovery.move(nowhere()); s.front.accept = 0; cancel() })
+	eventually(t, "the list", func() (has bool) {
+		s.loop.ask(func() { has = len(s.loop.listed) > 0 })
+		return has
+	})
+	return s, func(id string) leaver {
+		c := dial(t, s)
+		c.id = id
+		return leaver{c, <-far}
+	}
+}
+
+// leaves has the client leave, and waits until the sidecar's machine knows.
+func (l leaver) leaves(t *testing.T, way func(*net.TCPConn)) {
+	t.Helper()
+	way(l.Conn.(*net.TCPConn))
+	raw, err := l.far.SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "the end of the connection", func() (left bool) {
+		err := raw.Control(func(fd uintptr) { left = hungUp(fd) })
+		return left || err != nil // the sidecar has closed its end by now
+	})
+}
+
+func closes(c *net.TCPConn) { c.Close() }
+
+// leavings are the ways to leave.
+var leavings = map[string]func(*net.TCPConn){
+	"closed": closes,
+	"reset":  func(c *net.TCPConn) { c.SetLinger(0); c.Close() },
+	"ended":  func(c *net.TCPConn) { c.CloseWrite() },
+}
+
+// mailed waits until something is in the loop's mail.
+func mailed(t *testing.T, s *Sidecar) {
+	t.Helper()
+	eventually(t, "the loop's mail", func() bool { return len(s.loop.mail) > 0 })
+}
+
+// forgets sees that nothing is kept of those that left, that the next request to come out is a further one, and that
+// it is served.
+func forgets(t *testing.T, s *Sidecar, came <-chan string) {
+	t.Helper()
+	eventually(t, "the end of all that was kept", func() (none bool) {
+		s.loop.ask(func() { none = len(s.loop.calls)+len(s.loop.ids)+len(s.loop.again) == 0 })
+		return none
+	})
+	c := dial(t, s)
+	c.id = "mark"
+	c.send("GET", "read", "")
+	if res, _ := c.answer(t); res.StatusCode != 200 {
+		t.Errorf("status %d for a further request", res.StatusCode)
+	}
+	if id := <-came; id != "mark" {
+		t.Errorf("request %q was sent on though its client had left", id)
+	}
+}
+
+// noting serves every request and notes its id.
+func noting(t *testing.T) (string, chan string) {
+	came := make(chan string, 100)
+	return script(t, func(n int, c net.Conn, r *http.Request) bool {
+		came <- r.Header.Get("X-Request-Id")
+		return echo(n, c, r)
+	}).Addr().String(), came
+}
+
+// The client leaves while its request is in the loop's mail.
+func TestLeavingBeforeTheLoopTakesTheRequest(t *testing.T) {
+	for way, leave := range leavings {
+		t.Run(way, func(t *testing.T) {
+			addr, came := noting(t)
+			s, arrive := watched(t, patient(t, addr), nil)
+			first := seize(s)
+			c := arrive("left")
+			c.send("GET", "read", "")
+			mailed(t, s)
+			second := seize(s) // ahead of the news
+			c.leaves(t, leave)
+			first.free()
+			second.settle()
+			second.free()
+			forgets(t, s, came)
+		})
+	}
+}
+
+// The client leaves while its request is queued. What it had sent behind the request may hide that.
+func TestLeavingWhileQueued(t *testing.T) {
+	for way, leave := range leavings {
+		for behind, n := range map[string]int{"nothing": 0, "a little": 9, "more than is read": 9000} {
+			for _, full := range []bool{false, true} {
+				t.Run(fmt.Sprint(way, "/", behind, "/full ", full), func(t *testing.T) {
+					addr, came := noting(t)
+					cfg := patient(t, addr)
+					cfg.Known.Targets[0].State = "Terminating"
+					s, arrive := watched(t, cfg, nil)
+					c := arrive("left")
+					c.send("GET", "read", "")
+					taken(t, s, func(*call) bool { return true })
+					z := seize(s)
+					for full && len(s.loop.mail) < cap(s.loop.mail) {
+						s.loop.mail <- func() {}
+					}
+					io.WriteString(c, strings.Repeat("x", n))
+					c.leaves(t, leave)
+					z.do(func() {
+						target := cfg.Known.Targets[0]
+						target.State = "Ready"
+						s.loop.list(List{Targets: []Target{target}}, forkline.ListDelta)
+					})
+					z.settle()
+					z.free()
+					forgets(t, s, came)
+				})
+			}
+		}
+	}
+}
+
+// The client leaves while a connection for its request comes up late.
+func TestLeavingWhileDialling(t *testing.T) {
+	ln := listen(t)
+	raw, err := ln.(*net.TCPListener).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	raw.Control(func(fd uintptr) { err = syscall.Listen(int(fd), 0) })
+	if err != nil {
+		t.Fatal(err)
+	}
+	filler, err := net.Dial("tcp", ln.Addr().String()) // a backlog of 0 has room for one
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, arrive := watched(t, patient(t, ln.Addr().String()), func(s *Sidecar) { s.loop.up.grace = 0 }) // else it is late
+	c := arrive("left")
+	c.send("GET", "read", "")
+	taken(t, s, func(c *call) bool { return c.open == 1 })
+	z := seize(s)
+	c.leaves(t, closes)
+	filler.Close()
+	came := make(chan string, 10)
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				for r := bufio.NewReader(conn); ; {
+					req, err := http.ReadRequest(r)
+					if err != nil {
+						return
+					}
+					came <- req.Header.Get("X-Request-Id")
+					echo(0, conn, req)
+				}
+			}()
+		}
+	}()
+	z.settle()
+	z.free()
+	forgets(t, s, came)
+}
+
+// The client of a request that must not run twice leaves while all but its last byte is out.
+func TestLeavingAheadOfTheLastByte(t *testing.T) {
+	ln, began, goOn, came := listen(t), make(chan struct{}, 10), make(chan struct{}), make(chan string, 10)
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				r := bufio.NewReader(conn)
+				if _, err := r.Peek(1); err != nil {
+					return
+				}
+				began <- struct{}{}
+				<-goOn
+				io.WriteString(conn, "HTTP/1.1 100 Continue\r\n\r\n") // ends the look for a break
+				req, err := http.ReadRequest(r)
+				if err != nil {
+					return
+				}
+				came <- req.Header.Get("X-Request-Id")
+				echo(0, conn, req)
+			}()
+		}
+	}()
+	cfg := patient(t, ln.Addr().String())
+	cfg.Site.Settings.Classes[1].Aim, cfg.Site.Settings.Classes[1].GiveUp = 100000, 100000
+	s, arrive := watched(t, cfg, func(s *Sidecar) { s.loop.up.hold = time.Hour })
+	c := arrive("left")
+	c.send("POST", "pay", "")
+	<-began
+	z := seize(s)
+	c.leaves(t, closes)
+	close(goOn)
+	z.settle()
+	z.free()
+	forgets(t, s, came)
+}
+
+// The client leaves between two attempts: what the first one ended with is in the loop's mail.
+func TestLeavingBetweenAttempts(t *testing.T) {
+	for way, leave := range leavings {
+		t.Run(way, func(t *testing.T) {
+			came, end := make(chan string, 10), make(chan struct{})
+			full := func(n int, c net.Conn, r *http.Request) bool {
+				if came <- r.Header.Get("X-Request-Id"); r.Header.Get("X-Request-Id") == "mark" {
+					return echo(n, c, r)
+				}
+				<-end
+				io.WriteString(c, "HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
+				return true
+			}
+			s, arrive := watched(t, patient(t, script(t, full).Addr().String(), script(t, full).Addr().String()), nil)
+			c := arrive("left")
+			c.send("GET", "read", "")
+			<-came
+			first := seize(s)
+			close(end)
+			first.settle()
+			mailed(t, s)
+			second := seize(s) // ahead of the news
+			c.leaves(t, leave)
+			first.free()
+			second.settle()
+			second.free()
+			forgets(t, s, came)
+		})
+	}
+}
+
+// The client leaves while its request waits for the end of an earlier copy of it, just as that comes.
+func TestLeavingAsTheCopyBeforeEnds(t *testing.T) {
+	came, hold := make(chan string, 10), make(chan struct{})
+	s, arrive := watched(t, patient(t, script(t, func(n int, c net.Conn, r *http.Request) bool {
+		if came <- r.Header.Get("X-Request-Id"); n == 0 {
+			<-hold // until the first attempt is called off
+		}
+		return echo(n, c, r)
+	}).Addr().String()), nil)
+	defer close(hold)
+	old, again := copies(t, s, arrive, func() bool { return len(came) == 1 })
+	first := seize(s)
+	second := seize(s) // ahead of the news
+	again.leaves(t, closes)
+	first.do(func() { old.open--; s.loop.release(old) })
+	first.free()
+	second.settle()
+	second.free()
+	<-came // the first copy
+	forgets(t, s, came)
+}
+
+// copies has a client leave while its request is out, and another one ask for the same. What ends the attempt of the
+// first one is held back until the test lowers old.open.
+func copies(t *testing.T, s *Sidecar, arrive func(string) leaver, out func() bool) (old *call, again leaver) {
+	t.Helper()
+	first := arrive("copy")
+	again = arrive("copy")
+	first.send("GET", "read", "")
+	eventually(t, "the first attempt", out)
+	s.loop.ask(func() { old = s.loop.ids["copy"]; old.open++ })
+	first.leaves(t, closes)
+	eventually(t, "the leaving", func() (ended bool) { s.loop.ask(func() { ended = old.ended }); return ended })
+	again.send("GET", "read", "")
+	eventually(t, "the second copy", func() (waits bool) { s.loop.ask(func() { waits = old.again != nil }); return waits })
+	return old, again
+}
+
+// A client that leaves while its request waits for an earlier copy makes room for a third one: none of them is open.
+func TestAThirdCopyIsServed(t *testing.T) {
+	came, hold := make(chan string, 10), make(chan struct{})
+	s, arrive := watched(t, patient(t, script(t, func(n int, c net.Conn, r *http.Request) bool {
+		if came <- r.Header.Get("X-Request-Id"); n == 0 {
+			<-hold // until the first attempt is called off
+		}
+		return echo(n, c, r)
+	}).Addr().String()), nil)
+	defer close(hold)
+	old, second := copies(t, s, arrive, func() bool { return len(came) == 1 })
+	var waits *call
+	s.loop.ask(func() { waits = old.again })
+	second.leaves(t, closes)
+	eventually(t, "the leaving", func() (ended bool) { s.loop.ask(func() { ended = waits.ended }); return ended })
+	third := arrive("copy")
+	third.send("GET", "read", "")
+	answered := make(chan int, 1)
+	go func() {
+		if res, err := http.ReadResponse(third.reader, nil); err == nil {
+			answered <- res.StatusCode
+		}
+		close(answered)
+	}()
+	eventually(t, "the third copy", func() (taken bool) {
+		s.loop.ask(func() { taken = old.again != waits || len(answered) > 0 })
+		return taken
+	})
+	s.loop.post(func() { old.open--; s.loop.release(old) })
+	if status := <-answered; status != 200 || len(came) != 2 {
+		t.Errorf("status %d after %d sends", status, len(came))
+	}
+}
+
+// writes is a connection that notes what is written to it, and how often.
+type writes struct {
+	net.Conn
+	text  bytes.Buffer
+	wrote func()
+}
+
+func (c *writes) Write(b []byte) (int, error) {
+	defer c.wrote()
+	return c.text.Write(b)
+}
+
+// A request that is too long to be written at once goes without its last byte if its client leaves meanwhile, and one
+// whose client has left before is not begun and leaves its connection as it was. Neither can have run.
+func TestLeavingUnderALongWrite(t *testing.T) {
+	for name, leftAfter := range map[string]int{"before it is begun": 0, "ahead of its last byte": 1} {
+		far, near := net.Pipe()
+		defer far.Close()
+		defer near.Close()
+		written := 0
+		w := &writes{Conn: near, wrote: func() { written++ }}
+		a := newAttempt(time.Time{})
+		a.left = func() bool { return written >= leftAfter }
+		out := get()
+		out.body = bytes.Repeat([]byte("x"), maxBody)
+		got, answer, keep := exchange(a, &conn{Conn: w, reader: bufio.NewReader(w)}, out, time.Now().Add(long), 0)
+		if got != forkline.NotSent || answer != nil || keep != (leftAfter == 0) || written != leftAfter {
+			t.Errorf("%s: outcome %v, keep %v after %d writes", name, got, keep, written)
+		}
+		if _, err := http.ReadRequest(bufio.NewReader(&w.text)); leftAfter > 0 && err != nil {
+			t.Errorf("%s: %v", name, err)
+		}
+		if n := w.text.Len(); leftAfter > 0 && n >= maxBody {
+			t.Errorf("%s: all of the body is out", name)
+		}
+	}
+}
+
+// A request takes the id of one whose client has left and one that waits for it may have left as well, before the
+// loop has heard of either.
+func TestTheIDOfOneThatLeftIsFree(t *testing.T) {
+	cfg := patient(t, "127.0.0.1:1")
+	cfg.Known.Targets[0].State = "Terminating"
+	s := start(t, cfg)
+	statuses := make(chan int, 10)
+	request := func() (*call, *bool) {
+		left := false
+		return &call{
+			id: "id", event: forkline.Event{Due: s.loop.now() + 1e6}, left: func() bool { return left },
+			reply: func(a answer) { statuses <- a.status },
+		}, &left
+	}
+	s.loop.ask(func() {
+		first, firstLeft := request()
+		second, secondLeft := request()
+		third, _ := request()
+		s.loop.take(first)
+		*firstLeft = true
+		first.open++ // an attempt is out
+		s.loop.take(second)
+		if !first.ended || first.again != second {
+			t.Error("the second does not wait for the end of the first")
+		}
+		*secondLeft = true
+		s.loop.take(third)
+		if !second.ended || first.again != third {
+			t.Error("the third does not wait for the end of the first")
+		}
+		s.loop.gone(first) // the news
+		s.loop.gone(second)
+		first.open--
+		s.loop.release(first)
+		s.loop.expire()
+		if s.loop.ids["id"] != third || third.ended || len(s.loop.calls) != 1 {
+			t.Error("the third is not taken")
+		}
+	})
+	if len(statuses) > 0 {
+		t.Errorf("status %d", <-statuses)
+	}
+}
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -26,6 +26,7 @@
 	wait     float64        // ms from its arrival in which it must be answered
 	out      outgoing
 	reply    func(answer) // takes the one final answer
+	left     func() bool  // looks whether its client has left, whatever the loop has heard; nil = it never does
 	backstop *due
 	ended    bool
 	safe     bool // it may run any number of times
@@ -35,6 +36,9 @@
 	again    *call // the same request once more, from a client that had left this one
 }
 
+// hasLeft looks whether the call's client has left. News of that waits in the loop's mail behind whatever came before.
+func (c *call) hasLeft() bool { return c.left != nil && c.left() }
+
 // due tells the call when it arrived.
 func (c *call) due(arrived float64) { c.event.Due = arrived + c.wait }
 
@@ -213,12 +217,24 @@
 
 // take begins a request that has come whole.
 func (l *loop) take(c *call) {
+	if c.hasLeft() {
+		l.gone(c)
+		return
+	}
 	if l.over {
 		c.ended = true
 		c.reply(answer{status: statusRefused, retryAfter: l.comeBack})
 		return
 	}
-	if old := l.ids[c.id]; old != nil && old.ended && old.again == nil {
+	old := l.ids[c.id]
+	if old != nil && old.again != nil && !old.again.ended && old.again.hasLeft() {
+		l.gone(old.again)
+	}
+	if old != nil && !old.ended && old.hasLeft() {
+		l.gone(old)
+		old = l.ids[c.id]
+	}
+	if old != nil && old.ended && (old.again == nil || old.again.ended) {
 		old.again = c // what is open of it is called off and ends soon
 		c.mayRun = old.mayRun || old.open > 0
 		l.awaitEnd(c)
@@ -263,6 +279,7 @@
 		begin = sent.Add(l.up.grace)
 	}
 	a, e, number := newAttempt(begin), l.up.find(server), len(c.attempts)
+	a.left = c.hasLeft
 	c.attempts = append(c.attempts, a)
 	c.open++
 	go func() {
@@ -281,6 +298,8 @@
 	c.mayRun = c.mayRun || o != forkline.Full && o != forkline.ConnectFailed && o != forkline.NotSent
 	if got != nil {
 		l.finish(c, *got)
+	} else if !c.ended && c.hasLeft() { // before the module decides on a further attempt
+		l.gone(c)
 	}
 	l.handle(&forkline.Event{
 		Kind: forkline.EvOutcome, Request: c.event.Request, Attempt: uint16(number), Server: server,
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -31,6 +31,7 @@
 	dropTime    = 25 * time.Millisecond // a dropped connection breaks under a request this soon; later, its server failed
 	holdTime    = time.Millisecond      // for a broken connection to show: a few round trips within a data centre
 	restTime    = 10 * time.Millisecond // before a connection is used again: a second answer comes some ms behind the first
+	atOnce      = 8 << 10               // bytes that a connection takes without waiting for its peer
 	regainTrust = 32                    // reuses in a row, each after longer than is trusted, that double what is trusted
 )
 
@@ -152,7 +153,8 @@
 type attempt struct {
 	ctx    context.Context
 	cancel context.CancelFunc
-	begin  time.Time // latest time for its first byte; zero for any
+	begin  time.Time   // latest time for its first byte; zero for any
+	left   func() bool // looks whether the request's client has left; nil = it never does
 	mu     sync.Mutex
 	off    bool // called off
 }
@@ -171,11 +173,13 @@
 	a.cancel()
 }
 
-// claim tells whether the request may be written now.
+// claim tells whether the request may be written now: by then it was not called off, nor has its client left. It is
+// asked right before the first byte and right before the last one, as the news of either may still be on its way.
 func (a *attempt) claim() bool {
 	a.mu.Lock()
-	defer a.mu.Unlock()
-	return !a.off
+	off := a.off
+	a.mu.Unlock()
+	return !off && (a.left == nil || !a.left())
 }
 
 // do carries one attempt out and tells how it ended, as the module names it.
@@ -191,7 +195,7 @@
 		}
 		stop := context.AfterFunc(a.ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
 		outcome, got, keep := exchange(a, c, out, until, u.hold)
-		if !c.spoilt {
+		if !c.spoilt && outcome != forkline.NotSent {
 			u.reused(c.idle, c.dropped)
 		}
 		if !stop() || !keep {
@@ -220,13 +224,18 @@
 	text.WriteString("\r\n")
 	text.Write(out.body)
 	if !a.claim() {
-		return forkline.Cancelled, nil, false
+		return unclaimed(a), nil, c.idle == 0 // one that was idle already must not look as if just used
 	}
 	if !a.begin.IsZero() && time.Now().After(a.begin) {
 		return forkline.ConnectFailed, nil, true // its endpoint may have been told to drain meanwhile
 	}
 	whole := text.Bytes()
-	if out.once { // nothing has run before the last byte is there: it waits until a broken connection would show
+	// Nothing has run before the last byte is there. That of a request that must not run twice waits until a broken
+	// connection would show.
+	if !out.once {
+		hold = 0
+	}
+	if out.once || len(whole) > atOnce {
 		last := len(whole) - 1
 		if err := write(c, whole[:last], hold); err != nil {
 			c.dropped = brokenOff(a, err, forkline.Reset) == forkline.Reset
@@ -239,7 +248,7 @@
 		whole = whole[last:]
 		c.SetDeadline(until)
 		if !a.claim() {
-			return forkline.Cancelled, nil, false
+			return unclaimed(a), nil, false
 		}
 	}
 	if err := write(c, whole, 0); err != nil {
@@ -270,6 +279,16 @@
 	return forkline.Error, nil, keep
 }
 
+// unclaimed names the outcome of an attempt that claim has stopped.
+func unclaimed(a *attempt) forkline.Outcome {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.off {
+		return forkline.Cancelled
+	}
+	return forkline.NotSent // its client has left
+}
+
 // write writes all of the text, and then looks for so long whether the connection breaks.
 func write(c *conn, text []byte, look time.Duration) error {
 	if n, err := c.Write(text); n < len(text) || look <= 0 {
