Take a request that came in time though nobody looked before its time was up

Cause: comes closed a connection at the end of its quiet time even if a request lay unread there; only one that had been asked to give way looked. A deadline that has passed wins over bytes that are there, so a goroutine that got the core late closed upon them, which is a reset. TestARequestAtTheEndOfTheQuietTime fails with "connection reset by peer" without the change (downstream.go, comes).

Change: bytes that are there when the wait ends count, whatever ended it. Bytes that come between that look and the close still cross it; the client then sends again. Also a check that a bad client's connection ends within the 3 s that it is owed.

Result: the named tests pass.

--- a/internal/sidecar/downstream.go
+++ b/internal/sidecar/downstream.go
@@ -137,16 +137,16 @@
 	cs.put(c, nil)
 }
 
-// comes waits until a request begins to come and tells whether one does by then. Where the connection was asked to
-// give way, bytes that have come by now still count.
+// comes waits until a request begins to come and tells whether one does by then, or until the connection is asked to
+// give way. Bytes that are there when the wait ends still count, however late this goroutine gets to look.
 func (cs *downstream) comes(c *downstreamConn, by time.Time) bool {
 	c.SetReadDeadline(by)
 	if cs.isAsked(c) { // before that deadline was set
 		c.SetReadDeadline(time.Unix(1, 0))
 	}
 	_, err := c.reader.Peek(1)
-	if err != nil && cs.isAsked(c) && c.unread() {
-		c.SetReadDeadline(time.Time{}) // they are there, also if their time is up
+	if errors.Is(err, os.ErrDeadlineExceeded) && c.unread() {
+		c.SetReadDeadline(time.Time{}) // no wait, as they are there
 		_, err = c.reader.Peek(1)
 	}
 	return err == nil && cs.goOn(c, cs.coming)
--- a/internal/sidecar/leaving_test.go
+++ b/internal/sidecar/leaving_test.go
@@ -470,3 +470,34 @@
 		t.Errorf("status %d", <-statuses)
 	}
 }
+
+// A request that has come in time, but that nobody had the core to look at before its connection had been quiet for too
+// long, is not closed upon.
+func TestARequestAtTheEndOfTheQuietTime(t *testing.T) {
+	at, on := make(chan struct{}, 1), make(chan struct{})
+	s := undrained(t, echo, func(s *Sidecar) {
+		s.front.quiet = time.Nanosecond
+		hooked(func(c *net.TCPConn) net.Conn { return lateReader{c, false, at, on} })(s)
+	})
+	c := dial(t, s)
+	c.send("GET", "read", "")
+	<-at
+	eventually(t, "the request", func() bool {
+		s.front.downstream.mu.Lock()
+		defer s.front.downstream.mu.Unlock()
+		e := s.front.downstream.quiet.Front()
+		return e != nil && e.Value.(*downstreamConn).unread()
+	})
+	close(on)
+	if res, _ := c.answer(t); res.StatusCode != 200 {
+		t.Errorf("status %d", res.StatusCode)
+	}
+}
+
+// Bad clients are owed an error or a close within 3 s of connecting, whatever they send or leave out.
+func TestBadClientsEndInTime(t *testing.T) {
+	const owed, turn = 3 * time.Second, 250 * time.Millisecond
+	if end := quietTime + lingerTime + turn; end > owed {
+		t.Errorf("a connection may stay for %v", end)
+	}
+}
