Keep no idle connection as just used that an attempt took and did not use

Cause: an attempt that was too late after the decision gave its connection back unused, and put counted it as idle from then on. One that had been idle before was so held for up to twice the limit, and a request written to it could end as a reset (upstream.go, exchange). TestAnUnusedConnectionDoesNotLookFresh fails for "late" without the change.

Change: only a connection that is new is kept unused; an idle one is closed.

--- a/internal/sidecar/leaving_test.go
+++ b/internal/sidecar/leaving_test.go
@@ -501,3 +501,25 @@
 		t.Errorf("a connection may stay for %v", end)
 	}
 }
+
+// An idle connection that an attempt took but did not use is not kept as if just used: its endpoint may drop it any
+// time, as it has not heard of it for longer than it looks.
+func TestAnUnusedConnectionDoesNotLookFresh(t *testing.T) {
+	for name, change := range map[string]func(*attempt){
+		"client left": func(a *attempt) { a.left = func() bool { return true } },
+		"late":        func(a *attempt) { a.begin = time.Now().Add(-time.Second) },
+	} {
+		addr, came := noting(t)
+		u := pool(addr, 4)
+		if got, _ := attemptOn(u, long); got != forkline.OK {
+			t.Fatalf("outcome %v", got)
+		}
+		u.find(1).idle[0].since = time.Now().Add(-time.Second)
+		a := newAttempt(time.Time{})
+		change(a)
+		u.do(a, u.find(1), get(), time.Now().Add(long))
+		if u.open != 0 || len(came) != 1 {
+			t.Errorf("%s: %d connections are kept after %d requests", name, u.open, len(came))
+		}
+	}
+}
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -227,7 +227,7 @@
 		return unclaimed(a), nil, c.idle == 0 // one that was idle already must not look as if just used
 	}
 	if !a.begin.IsZero() && time.Now().After(a.begin) {
-		return forkline.ConnectFailed, nil, true // its endpoint may have been told to drain meanwhile
+		return forkline.ConnectFailed, nil, c.idle == 0 // its endpoint may have been told to drain meanwhile
 	}
 	whole := text.Bytes()
 	// Nothing has run before the last byte is there. That of a request that must not run twice waits until a broken
