--- a/internal/sidecar/leaving_test.go
+++ b/internal/sidecar/leaving_test.go
@@ -523,3 +523,40 @@
 		}
 	}
 }
+
+// slowCaller is a caller's connection on which the time to take an answer has passed whenever more is waited for.
+type slowCaller struct {
+	*net.TCPConn
+	answered bool
+}
+
+func (c *slowCaller) SetWriteDeadline(at time.Time) error {
+	c.answered = true
+	return c.TCPConn.SetWriteDeadline(at)
+}
+
+func (c *slowCaller) SetReadDeadline(at time.Time) error {
+	if c.answered {
+		c.TCPConn.SetWriteDeadline(time.Unix(1, 0))
+	}
+	return c.TCPConn.SetReadDeadline(at)
+}
+
+// A caller that waits for leave to send its body gets it as well on a connection that it has used before.
+func TestExpectContinueOnAKeptConnection(t *testing.T) {
+	s := undrained(t, echo, func(s *Sidecar) { hooked(func(c *net.TCPConn) net.Conn { return &slowCaller{TCPConn: c} })(s) })
+	c := dial(t, s)
+	for range 3 {
+		fmt.Fprintf(c, "POST /pay/x HTTP/1.1\r\nHost: b\r\nX-Class: pay\r\nX-Request-Id: 1\r\n"+
+			"Expect: 100-continue\r\nContent-Length: 2\r\n\r\n")
+		c.SetReadDeadline(time.Now().Add(long))
+		if line, err := c.reader.ReadString('\n'); !strings.HasPrefix(line, "HTTP/1.1 100") {
+			t.Fatalf("%q, %v", line, err)
+		}
+		c.reader.ReadString('\n')
+		io.WriteString(c, "hi")
+		if res, _ := c.answer(t); res.StatusCode != 200 {
+			t.Errorf("status %d", res.StatusCode)
+		}
+	}
+}
