--- a/internal/sidecar/downstream.go
+++ b/internal/sidecar/downstream.go
@@ -137,16 +137,16 @@
 	cs.put(c, nil)
 }
 
-// comes waits until a request begins to come and tells whether one does by then. Where the connection was asked to
-// give way, bytes that have come by now still count.
+// comes waits until a request begins to come and tells whether one does by then, or until the connection is asked to
+// give way. Bytes that are there when the wait ends still count, however late this goroutine gets to look.
 func (cs *downstream) comes(c *downstreamConn, by time.Time) bool {
 	c.SetReadDeadline(by)
 	if cs.isAsked(c) { // before that deadline was set
 		c.SetReadDeadline(time.Unix(1, 0))
 	}
 	_, err := c.reader.Peek(1)
-	if err != nil && cs.isAsked(c) && c.unread() {
-		c.SetReadDeadline(time.Time{}) // they are there, also if their time is up
+	if errors.Is(err, os.ErrDeadlineExceeded) && c.unread() {
+		c.SetReadDeadline(time.Time{}) // no wait, as they are there
 		_, err = c.reader.Peek(1)
 	}
 	return err == nil && cs.goOn(c, cs.coming)
@@ -215,6 +215,25 @@
 	return err == nil && left
 }
 
+// hasLeft looks, without waiting, whether the caller has left, as leaves would tell it. Any goroutine may ask, so that
+// a leaving counts before the connection's own goroutine has had its turn.
+func (c *downstreamConn) hasLeft() bool {
+	n, err := peek(c.Conn)
+	switch {
+	case errors.Is(err, syscall.EAGAIN) || errors.Is(err, errors.ErrUnsupported):
+		return false
+	case err != nil || n == 0:
+		return true
+	}
+	raw, err := c.Conn.(syscall.Conn).SyscallConn() // bytes behind the request hide the end from a read
+	if err != nil {
+		return true
+	}
+	left := false
+	err = raw.Control(func(fd uintptr) { left = hungUp(fd) })
+	return err != nil || left
+}
+
 // hungUp looks, without waiting, whether the peer of a socket has ended its sending or reset the connection.
 func hungUp(fd uintptr) bool {
 	const pollRDHup, pollErr, pollHup = 0x2000, 0x8, 0x10
--- a/internal/sidecar/front.go
+++ b/internal/sidecar/front.go
@@ -90,6 +90,7 @@
 			return
 		}
 		if waits {
+			c.SetWriteDeadline(time.Now().Add(writeTime)) // that of the answer before may have passed
 			io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n") // one that fails shows in the body
 		}
 		if k.out.body, err = readBody(c.reader, m.length); err != nil {
@@ -128,6 +129,7 @@
 	if !f.downstream.begins(c) {
 		return answer{}, false
 	}
+	k.left = c.hasLeft
 	f.loop.post(func() { f.loop.take(k) })
 	if c.leaves() {
 		select {
