--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -1,5 +1,5 @@
 // Package sidecar runs the decision module on real sockets. The loop owns the module and every request; the
-// front takes requests from callers, upstream carries attempts to endpoints, discovery follows the list.
+// front takes requests from clients, upstream carries attempts to endpoints, discovery follows the list.
 package sidecar
 
 import (
@@ -22,7 +22,7 @@
 	Known                   List
 }
 
-// LeastSockets is the smallest descriptor limit that leaves some for callers and for endpoints.
+// LeastSockets is the smallest descriptor limit that leaves some for clients and for endpoints.
 const LeastSockets = 64
 
 // reserved descriptors are for the runtime, standard streams, the listener, discovery and those on their way.
@@ -42,7 +42,7 @@
 	front      *front
 	discovery  *discovery
 	listener   net.Listener
-	downstream int           // connections that callers may hold
+	downstream int           // connections that clients may hold
 	patience   time.Duration // see agentFirst
 }
 
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -42,7 +42,7 @@
 	once   bool // it must never run twice
 }
 
-// answer is a whole answer for a caller.
+// answer is a whole answer for a client.
 type answer struct {
 	status     int
 	header     http.Header
@@ -294,7 +294,7 @@
 	return broken
 }
 
-var errNoRoom = errors.New("no descriptor left for a connection")
+var errPoolExhausted = errors.New("the pool is at its limit and none of its connections is idle")
 
 // connect takes an idle connection that is still open, or dials.
 func (u *upstream) connect(ctx context.Context, e *endpoint, until time.Time, once bool) (*conn, error) {
@@ -308,8 +308,8 @@
 		}
 		u.discard(c)
 	}
-	if !u.makeRoom() {
-		return nil, errNoRoom
+	if !u.acquire() {
+		return nil, errPoolExhausted
 	}
 	d := net.Dialer{Timeout: u.dialTimeout, Deadline: until, KeepAlive: -1}
 	raw, err := d.DialContext(ctx, "tcp", e.addr)
@@ -366,8 +366,8 @@
 	}
 }
 
-// makeRoom counts one more connection; at the limit, the one that was idle longest gives way.
-func (u *upstream) makeRoom() bool {
+// acquire counts one more connection; at the limit, the one that was idle longest is evicted.
+func (u *upstream) acquire() bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if u.open >= u.most {
