--- a/internal/sidecar/front.go
+++ b/internal/sidecar/front.go
@@ -90,7 +90,7 @@
 			return
 		}
 		if waits {
-			c.SetWriteDeadline(time.Now().Add(writeTime)) // that of the answer before may have passed
+			c.SetWriteDeadline(time.Now().Add(writeTime))      // that of the answer before may have passed
 			io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n") // one that fails shows in the body
 		}
 		if k.out.body, err = readBody(c.reader, m.length); err != nil {
--- a/internal/sidecar/leaving_test.go
+++ b/internal/sidecar/leaving_test.go
@@ -198,6 +198,41 @@
 	}
 }
 
+// Client after client leaves just before its request is sent. The module must not count those attempts as open for
+// good: a further request finds room.
+func TestManyLeaveWhileQueued(t *testing.T) {
+	addr, came := noting(t)
+	cfg := patient(t, addr)
+	cfg.Known.Targets[0].State = "Terminating"
+	s, arrive := watched(t, cfg, nil)
+	for decided, end := 0, time.Now().Add(long); decided < 50; {
+		if time.Now().After(end) {
+			t.Fatalf("no more than %d attempts are decided on", decided)
+		}
+		told(s, &cfg, "Terminating")
+		c := arrive("left")
+		c.send("GET", "read", "")
+		taken(t, s, func(*call) bool { return true })
+		z := seize(s)
+		c.leaves(t, closes)
+		z.do(func() {
+			target := cfg.Known.Targets[0]
+			target.State = "Ready"
+			s.loop.list(List{Targets: []Target{target}}, forkline.ListDelta)
+			for _, c := range s.loop.calls {
+				decided += len(c.attempts)
+			}
+		})
+		z.settle()
+		z.free()
+		eventually(t, "the end of the request", func() (none bool) {
+			s.loop.ask(func() { none = len(s.loop.calls) == 0 })
+			return none
+		})
+	}
+	forgets(t, s, came)
+}
+
 // The client leaves while a connection for its request comes up late.
 func TestLeavingWhileDialling(t *testing.T) {
 	ln := listen(t)
@@ -560,3 +595,23 @@
 		}
 	}
 }
+
+// An answer that is reset on its way is no answer, whatever has come of it and however its end would be told.
+func TestAResetIsNoEndOfAnAnswer(t *testing.T) {
+	for name, text := range map[string]string{
+		"nothing yet": "", "no length": "HTTP/1.1 200 OK\r\n\r\nhi", "in the head": "HTTP/1.1 200 OK\r\nCont",
+		"in the body":    "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhi",
+		"in a chunk":     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhi",
+		"between two":    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n",
+		"half a refusal": "HTTP/1.1 503 U\r\nX-Not-Run: 1\r\nContent-Length: 5\r\n\r\n",
+	} {
+		ln := script(t, func(_ int, c net.Conn, _ *http.Request) bool {
+			io.WriteString(c, text)
+			c.(*net.TCPConn).SetLinger(0)
+			return false
+		})
+		if got, a := attemptOn(pool(ln.Addr().String(), 4), long); got != forkline.Reset || a != nil {
+			t.Errorf("%s: outcome %v, answer %v", name, got, a)
+		}
+	}
+}
