End a call to discovery that waits when a later one begins, so that calls don't add up

A call that has no answer yet was left to wait for its 4 s beside each later one (discovery.once); only a watch that has been heard is ended by a later one. Ruled out: dials under way and closes, as the pool and downstream count them until the descriptor is free.

Change: a call that waits for its answer ends when a later one begins. The watch that is heard stays until the new one is heard, as before.

--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -149,6 +149,7 @@
 	rev   int64  // version of the list held
 	takes int    // number of the latest follow
 	begun int    // number of the latest watch
+	quit  func() // ends that one as long as it has not been answered
 	heard int    // number of the one that is listened to
 	end   func() // ends that one
 }
@@ -188,6 +189,10 @@
 	d.mu.Lock()
 	d.begun++
 	number, addr, rev := d.begun, d.addr, d.rev
+	if d.quit != nil {
+		d.quit() // calls that wait for an answer must not add up, as each takes a descriptor
+	}
+	d.quit = cancel
 	d.mu.Unlock()
 	err := d.watch(ctx, addr, rev, func(f func()) error { return d.hear(number, cancel, f) })
 	d.mu.Lock()
@@ -211,7 +216,9 @@
 	if number > d.heard && d.end != nil {
 		d.end()
 	}
-	d.heard, d.end = number, cancel
+	if d.heard, d.end = number, cancel; number == d.begun {
+		d.quit = nil
+	}
 	f()
 	return nil
 }
