Test readiness without discovery, with no old list and behind a full backlog

Cause looked for: a restarted process that is not ready within 10 s while discovery is refused, not accepted, silent, crowded (503), reset or answers with no list, where lists are asked for and pushed, or while clients crowd the backlog of its listener.

The wait of 1 s passes in real time: real sockets don't stand still with a virtual clock. No speed is asserted.

--- /dev/null
+++ b/internal/sidecar/readiness_test.go
@@ -0,0 +1,148 @@
+package sidecar
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+)
+
+// isReady asks on a new connection.
+func isReady(s *Sidecar) bool {
+	c := http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: long}
+	res, err := c.Get("http://" + s.listener.Addr().String() + "/-/ready")
+	if err != nil {
+		return false
+	}
+	res.Body.Close()
+	return res.StatusCode == http.StatusOK
+}
+
+// troubles are discoveries that are of no help to a process that starts.
+var troubles = map[string]func(*testing.T) string{
+	"refused": func(t *testing.T) string {
+		ln := listen(t)
+		ln.Close()
+		return ln.Addr().String()
+	},
+	"not accepted": func(*testing.T) string { return nowhere() },
+	"silent": func(t *testing.T) string {
+		return script(t, func(_ int, c net.Conn, _ *http.Request) bool { io.Copy(io.Discard, c); return false }).Addr().String()
+	},
+	"crowded": func(t *testing.T) string {
+		return script(t, func(_ int, c net.Conn, _ *http.Request) bool {
+			io.WriteString(c, "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")
+			return false
+		}).Addr().String()
+	},
+	"reset": func(t *testing.T) string {
+		return script(t, func(int, net.Conn, *http.Request) bool { return false }).Addr().String()
+	},
+	"answers with no list": func(t *testing.T) string {
+		return script(t, func(_ int, c net.Conn, _ *http.Request) bool {
+			io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\n")
+			io.Copy(io.Discard, c)
+			return false
+		}).Addr().String()
+	},
+}
+
+// A process that starts while discovery is of no help sends by its old list: at once where lists are asked for, and
+// after the wait for the agent where they are pushed. Only the system's own clock can run beside real sockets, so this
+// wait of 1 s is waited for in full.
+func TestReadyWithoutDiscovery(t *testing.T) {
+	for name, trouble := range troubles {
+		for _, asked := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s/asked %v", name, asked), func(t *testing.T) {
+				t.Parallel()
+				cfg := config(t, script(t, echo).Addr().String())
+				cfg.Discovery, cfg.Site.Settings.ListOnRequest = trouble(t), asked
+				s, err := New(cfg)
+				if err != nil {
+					t.Fatal(err)
+				}
+				s.front.accept = 0
+				t.Cleanup(func() { s.discovery.move(nowhere()) })
+				go s.Run(t.Context())
+				if asked && !isReady(s) {
+					t.Error("not ready at once")
+				}
+				eventually(t, "readiness", func() bool { return isReady(s) })
+				c := dial(t, s)
+				c.send("GET", "read", "")
+				if res, _ := c.answer(t); res.StatusCode != 200 {
+					t.Errorf("status %d from a process that is ready", res.StatusCode)
+				}
+			})
+		}
+	}
+}
+
+// With no old list there is nothing to send by until discovery tells one: then the process is ready.
+func TestReadyWithNoOldList(t *testing.T) {
+	for _, asked := range []bool{false, true} {
+		t.Run(fmt.Sprint("asked ", asked), func(t *testing.T) {
+			t.Parallel()
+			addr, served := script(t, echo).Addr().String(), make(chan struct{})
+			cfg := config(t)
+			cfg.Site.Settings.ListOnRequest = asked
+			cfg.Discovery = script(t, func(n int, c net.Conn, _ *http.Request) bool {
+				if n == 0 {
+					io.WriteString(c, "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")
+					return false
+				}
+				<-served
+				fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n\r\n"+`{"rev":1,"all":true,"targets":[{"uid":"s","endpoint":%q,"az":"z","state":"Ready"}]}`+"\n", addr)
+				io.Copy(io.Discard, c)
+				return false
+			}).Addr().String()
+			s, err := New(cfg)
+			if err != nil {
+				t.Fatal(err)
+			}
+			s.front.accept = 0
+			t.Cleanup(func() { s.discovery.move(nowhere()) })
+			go s.Run(t.Context())
+			if isReady(s) {
+				t.Error("ready with no list")
+			}
+			close(served)
+			eventually(t, "readiness", func() bool { return isReady(s) })
+		})
+	}
+}
+
+// Clients have crowded the listener's backlog before the process takes the first of them, with and without the first
+// bytes of a request. Those who ask whether it is ready, before and after, are answered.
+func TestReadyBehindAFullBacklog(t *testing.T) {
+	for name, first := range map[string]string{"silent": "", "half a request": firstHalf} {
+		t.Run(name, func(t *testing.T) {
+			cfg := config(t, script(t, echo).Addr().String())
+			cfg.Sockets, cfg.Site.Settings.ListOnRequest = LeastSockets, true
+			s, err := New(cfg)
+			if err != nil {
+				t.Fatal(err)
+			}
+			s.front.accept = 0
+			for range 4 * s.downstream {
+				io.WriteString(dial(t, s), first)
+			}
+			c := dial(t, s)
+			fmt.Fprint(c, "GET /-/ready HTTP/1.1\r\nHost: b\r\n\r\n")
+			go s.Run(t.Context())
+			if res, _ := c.answer(t); res.StatusCode != 200 {
+				t.Errorf("status %d for the one at the end of the backlog", res.StatusCode)
+			}
+			eventually(t, "readiness", func() bool { return isReady(s) })
+		})
+	}
+}
+
+// Nine in ten restarted processes have to be ready within 10 s. All that is waited for on purpose is the agent.
+func TestTheWaitForTheAgentLeavesTimeToBeReady(t *testing.T) {
+	if agentFirst > time.Second {
+		t.Errorf("a process with an old list waits for %v", agentFirst)
+	}
+}
