Take a class whose name is percent-encoded in the path

Cause: a request of a class whose name has characters that can't stand in a path as they are (spaces, letters beyond ASCII, '?') was answered 404, as the first part of the path was compared in its encoded form (front.parse). Seen with drawn names; no deployment is known to have such. Ruled out: names of tenants, zones and kinds, none of them, one class, 60 classes, 40 zones; names that are empty or words like 'all'.

Change: the encoded form is taken as well; what is passed on is unchanged.

--- a/internal/sidecar/front.go
+++ b/internal/sidecar/front.go
@@ -7,6 +7,7 @@
 	"math"
 	"net"
 	"net/http"
+	"net/url"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -165,6 +166,7 @@
 	uri, version, _ := strings.Cut(rest, " ")
 	path, _, _ := strings.Cut(strings.TrimPrefix(uri, "/"), "?")
 	first, _, _ := strings.Cut(path, "/")
+	decoded, _ := url.PathUnescape(first) // a name may have characters that a path has in code only
 	if version != "HTTP/1.1" && version != "HTTP/1.0" || !strings.HasPrefix(uri, "/") || hasControl(uri) {
 		return nil, http.StatusBadRequest, "the request line cannot be read"
 	}
@@ -176,7 +178,7 @@
 	}
 	name := h.Get("X-Class")
 	index, ok := f.classes[name]
-	if !ok || first != name {
+	if !ok || first != name && decoded != name {
 		return nil, http.StatusNotFound, "X-Class and the path name no class"
 	}
 	class := &f.set.Classes[index]
