Read experiments from TOML, every fault named by file, line and key

The shapes had no reader. Read takes a file in, checks each key against one table of ranges and defaults, then names, calls, shares and faults, and tells the first fault with its file, line and key; the positions come from the parser of go-toml. Circles are named (a -> b -> a), as are chains over 24 services. A service with copies stands for several alike. example.toml tells every key; a test holds its ranges and defaults against those that are checked. Keys of results are in lower case, with their units.

Not run: any play.

--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -1,5 +1,6 @@
 // Package experiment holds what a hollow fleet is asked to play: its shape, its traffic, its discovery and network,
-// and the faults. Read makes one from TOML and checks it; internal/fleet plays it.
+// and the faults. Read makes one from TOML and checks it; internal/fleet plays it. Example is a file that names every
+// key with its range, and with the default that it takes where a file leaves it out.
 package experiment
 
 import "time"
@@ -21,6 +22,8 @@
 	Discovery Discovery `toml:"discovery"`
 	Network   Network   `toml:"network"`
 	Faults    []Fault   `toml:"fault"`
+
+	source *source // nil if it was not read from a file
 }
 
 // Region is a set of zones; each zone has so many racks, over which endpoints are dealt out in turn.
@@ -32,8 +35,14 @@
 
 // Service is one service of the call graph. Each of its endpoints has a sidecar of its own for the calls it makes; one
 // with Front > 0 also has so many sidecars at the front, through which clients come.
+//
+// A file may write several alike as one with Copies > 1: "svc" with 14 copies becomes svc-0 to svc-13, each with
+// endpoints, front and rate of its own. A call to "svc"
+// goes from copy i of the caller to copy i modulo 14, one to "svc-3" from all copies to that one. Read deals them out, so
+// that Copies is 1 in what it returns.
 type Service struct {
 	Name      string   `toml:"name"`
+	Copies    int      `toml:"copies"`
 	Endpoints int      `toml:"endpoints"` // dealt out over the zones
 	Front     int      `toml:"front"`     // sidecars at the front that balance for this service; 0 = clients do not call it
 	Rate      float64  `toml:"rate"`      // calls a second of clients, over all front sidecars; needs Front
@@ -97,8 +106,8 @@
 //
 //	kind       what                                                           target
 //	machine    Count endpoints, and their sidecars, vanish and return cold    service, or "" for any
-//	rack       one rack vanishes                                              "region/zone/rack" by numbers from 0
-//	zone       one zone vanishes                                              "region/zone"
+//	rack       one rack vanishes                                              "region/zone/rack", as "r-1/0/2"
+//	zone       one zone vanishes                                              "region/zone", as "r-1/0"
 //	split      a region hears no other, nor they it                           region
 //	down       discovery refuses all calls and ends all watches               -
 //	silent     discovery accepts calls and says nothing; watches fall silent  -
@@ -106,6 +115,8 @@
 //	restart    Count endpoints, and their sidecars, are replaced one by one, evenly over For   service, or "" for any
 //	changes    Count changes of configuration, evenly over For; each goes to all              service, or "" for any
 //	burst      clients' calls are Factor times as many                        service, or "" for all
+//
+// Regions and services go by their names, zones and racks by their numbers from 0.
 type Fault struct {
 	Kind   string   `toml:"kind"`
 	At     Duration `toml:"at"`
--- a/internal/experiment/result.go
+++ b/internal/experiment/result.go
@@ -22,10 +22,21 @@
 
 // Calls sums up calls over a scope.
 type Calls struct {
-	Asked, Served, InTime, Refused, Failed, Late int64
-	Attempts, Connections                        int64
-	P50, P99, P999                               float64 // ms, of served calls
-	AddedP50, AddedP99, AddedP999                float64 // ms that waiting at sidecars added
+	Asked       int64 `json:"asked"`
+	Served      int64 `json:"served"`
+	InTime      int64 `json:"in_time"`
+	Refused     int64 `json:"refused"`
+	Failed      int64 `json:"failed"`
+	Late        int64 `json:"late"`
+	Attempts    int64 `json:"attempts"`
+	Connections int64 `json:"connections"`
+
+	P50       float64 `json:"p50_ms"` // of served calls
+	P99       float64 `json:"p99_ms"`
+	P999      float64 `json:"p999_ms"`
+	AddedP50  float64 `json:"added_p50_ms"` // that waiting at sidecars added
+	AddedP99  float64 `json:"added_p99_ms"`
+	AddedP999 float64 `json:"added_p999_ms"`
 }
 
 // ServiceResult is one service's part.
@@ -38,14 +49,19 @@
 
 // Control is the traffic for control: calls for lists, watches, changes.
 type Control struct {
-	CallsPerSecond, PeakCallsPerSecond             float64 // that discovery saw
-	RefusedCalls                                   int64
-	DiscoveryBusy                                  float64 // share of an instance's time, mean
-	PeakQueue                                      int     // calls waiting for their turn
-	SidecarBytesPerSecond, DiscoveryBytesPerSecond float64
-	ModuleMicrosPerCall, ModuleMicrosPerList       float64 // processor time of the real module, as measured in this run
-	SpreadP50, SpreadP99, SpreadMax                float64 // ms from a change to its being in force everywhere
-	ToldMax                                        float64 // ms from discovery's return to the last copy's being answered
+	CallsPerSecond          float64 `json:"calls_per_second"` // that discovery saw
+	PeakCallsPerSecond      float64 `json:"peak_calls_per_second"`
+	RefusedCalls            int64   `json:"refused_calls"`
+	DiscoveryBusy           float64 `json:"discovery_busy"` // share of an instance's time, mean
+	PeakQueue               int     `json:"peak_queue"`     // calls waiting for their turn
+	SidecarBytesPerSecond   float64 `json:"sidecar_bytes_per_second"`
+	DiscoveryBytesPerSecond float64 `json:"discovery_bytes_per_second"`
+	ModuleMicrosPerCall     float64 `json:"module_us_per_call"` // processor time of the real module, as measured in this run
+	ModuleMicrosPerList     float64 `json:"module_us_per_list"`
+	SpreadP50               float64 `json:"spread_p50_ms"` // from a change to its being in force everywhere
+	SpreadP99               float64 `json:"spread_p99_ms"`
+	SpreadMax               float64 `json:"spread_max_ms"`
+	ToldMax                 float64 `json:"told_max_ms"` // from discovery's return to the last copy's being answered
 }
 
 // FaultResult tells what a fault cost.
@@ -60,9 +76,14 @@
 
 // Second is one second of the run.
 type Second struct {
-	At                              float64 `json:"at_s"`
-	Asked, Served, Refused, Failed  int64
-	ListCalls, Changes, Connections int64
+	At          float64 `json:"at_s"`
+	Asked       int64   `json:"asked"`
+	Served      int64   `json:"served"`
+	Refused     int64   `json:"refused"`
+	Failed      int64   `json:"failed"`
+	ListCalls   int64   `json:"list_calls"`
+	Changes     int64   `json:"changes"`
+	Connections int64   `json:"connections"`
 }
 
 // Progress is told about once a second of real time; done and of are virtual.
