Take regions by name or number in targets, and show what must not happen

The model takes regions by their numbers, files are read by people: Read takes both and writes the number.

--- a/cmd/fleetlab/markdown.go
+++ b/cmd/fleetlab/markdown.go
@@ -68,6 +68,16 @@
 		table(b, []string{"fault", "at", "lost", "recovered after", "list calls", "last told"}, rows)
 	}
 
+	b.WriteString("\n")
+	table(b, []string{"what must not happen", "count"}, [][]string{
+		{"cold endpoints that fell", count(r.Rules.ColdFalls)},
+		{"sends to draining endpoints past the grace", count(r.Rules.DrainingSends)},
+		{"unsafe calls run again", count(r.Rules.UnsafeRepeats)},
+		{"calls never answered", count(r.Rules.NoAnswer)},
+		{"calls answered twice", count(r.Rules.TwoAnswers)},
+		{"calls answered by the sidecar for the module", count(r.Rules.Backstops)},
+	})
+
 	c := r.Control
 	b.WriteString("\n")
 	table(b, []string{"control", "figure"}, [][]string{
@@ -83,6 +93,7 @@
 		{"change in force everywhere, p50", figure(c.SpreadP50)},
 		{"change in force everywhere, p99", figure(c.SpreadP99)},
 		{"change in force everywhere, most", figure(c.SpreadMax)},
+		{"changes not in force everywhere at the end", count(c.Unspread)},
 		{"last told after discovery's return", figure(c.ToldMax)},
 	})
 }
--- a/internal/experiment/check.go
+++ b/internal/experiment/check.go
@@ -569,7 +569,7 @@
 		c.errorf(key, "%s is not of the form %q", quoted(f.Target), forms[kind])
 		return
 	}
-	i := slices.IndexFunc(c.e.Regions, func(r Region) bool { return r.Name == parts[0] })
+	i := c.e.region(parts[0])
 	if i < 0 {
 		c.errorf(key, "there is no region %s", quoted(parts[0]))
 		return
@@ -587,8 +587,26 @@
 	}
 }
 
-// dealOut writes services with copies one by one.
+// region finds one by its name or its number from 0; -1 if there is none.
+func (e *Experiment) region(text string) int {
+	if i := slices.IndexFunc(e.Regions, func(r Region) bool { return r.Name == text }); i >= 0 {
+		return i
+	}
+	if i, err := strconv.Atoi(text); err == nil && i >= 0 && i < len(e.Regions) && text == strconv.Itoa(i) {
+		return i
+	}
+	return -1
+}
+
+// dealOut writes services with copies one by one, and regions in targets by their numbers.
 func (e *Experiment) dealOut() {
+	for i := range e.Faults {
+		f := &e.Faults[i]
+		if kind := kinds[f.Kind].target; kind == "region" || kind == "zone" || kind == "rack" {
+			name, rest, _ := strings.Cut(f.Target, "/")
+			f.Target = strings.TrimSuffix(fmt.Sprintf("%d/%s", e.region(name), rest), "/")
+		}
+	}
 	var out []Service
 	places := e.places()
 	for _, s := range e.Services {
--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -106,8 +106,8 @@
 //
 //	kind       what                                                           target
 //	machine    Count endpoints, and their sidecars, vanish and return cold    service, or "" for any
-//	rack       one rack vanishes                                              "region/zone/rack", as "r-1/0/2"
-//	zone       one zone vanishes                                              "region/zone", as "r-1/0"
+//	rack       one rack vanishes                                              "region/zone/rack", as "r-1/0/2" or "1/0/2"
+//	zone       one zone vanishes                                              "region/zone", as "r-1/0" or "1/0"
 //	split      a region hears no other, nor they it                           region
 //	down       discovery refuses all calls and ends all watches               -
 //	silent     discovery accepts calls and says nothing; watches fall silent  -
@@ -116,7 +116,8 @@
 //	changes    Count changes of configuration, evenly over For; each goes to all              service, or "" for any
 //	burst      clients' calls are Factor times as many                        service, or "" for all
 //
-// Regions and services go by their names, zones and racks by their numbers from 0.
+// Services go by their names, regions by their names or their numbers from 0, zones and racks by their numbers. Read
+// writes the numbers of regions in place of their names.
 type Fault struct {
 	Kind   string   `toml:"kind"`
 	At     Duration `toml:"at"`
--- a/internal/experiment/read_test.go
+++ b/internal/experiment/read_test.go
@@ -161,6 +161,9 @@
 		{edit(`"zone"`, `"flood"`), `f.toml:42: fault[0].kind: "flood" is none of machine, rack, zone, split, down, silent, refusing, restart, changes and burst`},
 		{edit(`"r-0/1"`, `"r-0/2"`), `f.toml:44: fault[0].target: there is no zone "2" in region r-0: they go from 0 to 1`},
 		{edit(`"r-0/1"`, `"r-1/1"`), `f.toml:44: fault[0].target: there is no region "r-1"`},
+		{edit(`"r-0/1"`, `"1/1"`), `f.toml:44: fault[0].target: there is no region "1"`},
+		{edit(`"r-0/1"`, `"+0/1"`), `f.toml:44: fault[0].target: there is no region "+0"`},
+		{edit(`"r-0/1"`, `"r-0/01"`), `f.toml:44: fault[0].target: there is no zone "01" in region r-0: they go from 0 to 1`},
 		{edit(`"r-0/1"`, `"r-0"`), `f.toml:44: fault[0].target: "r-0" is not of the form "region/zone"`},
 		{edit("target = \"r-0/1\"\n", ""), `f.toml:41: fault[0].target: "" is not of the form "region/zone"`},
 		{edit("\"zone\"\nat = \"5s\"\ntarget = \"r-0/1\"", "\"rack\"\ntarget = \"r-0/1/3\""), `f.toml:43: fault[0].target: there is no rack "3" in region r-0: they go from 0 to 2`},
@@ -324,6 +327,18 @@
 	}
 }
 
+// A region goes by its name or its number; what is read has the number.
+func TestTargetsOfFaults(t *testing.T) {
+	const regions = "[[region]]\nname = \"a\"\nzones = 2\nracks = 3\n[[region]]\nname = \"0\"\nzones = 2\nracks = 3\n"
+	for target, want := range map[string]string{"a/1": "0/1", "0/1": "1/1", "1/0": "1/0", "a/1/2": "0/1/2", "a": "0", "1": "1"} {
+		kind := []string{"split", "zone", "rack"}[strings.Count(target, "/")]
+		e, err := Parse("f.toml", []byte(deep(2)+regions+"[[fault]]\nkind = \""+kind+"\"\ntarget = \""+target+"\"\n"))
+		if err != nil || e.Faults[0].Target != want {
+			t.Errorf("%s %s: %+v, error %v", kind, target, e, err)
+		}
+	}
+}
+
 // The experiments of the repository are valid, and the whole fleet is as large as its file says.
 func TestExperimentsAreValid(t *testing.T) {
 	files, err := filepath.Glob("../../experiments/*.toml")
--- a/internal/experiment/result.go
+++ b/internal/experiment/result.go
@@ -17,9 +17,20 @@
 	Services  []ServiceResult    `json:"services"`
 	Control   Control            `json:"control"`
 	Faults    []FaultResult      `json:"faults"`
+	Rules     Rules              `json:"rules"`
 	Series    []Second           `json:"series"` // one a second of measured time
 }
 
+// Rules counts what must not happen, over the whole run.
+type Rules struct {
+	ColdFalls     int64 `json:"cold_falls"`     // cold endpoints that fell
+	DrainingSends int64 `json:"draining_sends"` // sends past the grace to endpoints that the sidecar was told to drain or be gone
+	UnsafeRepeats int64 `json:"unsafe_repeats"` // runs of an unsafe call after its first
+	NoAnswer      int64 `json:"no_answer"`      // calls that were never answered
+	TwoAnswers    int64 `json:"two_answers"`    // answers of the module to calls that had ended
+	Backstops     int64 `json:"backstops"`      // calls that the sidecar had to answer, as the module had not in time
+}
+
 // Calls sums up calls over a scope.
 type Calls struct {
 	Asked       int64 `json:"asked"`
@@ -61,6 +72,7 @@
 	SpreadP50               float64 `json:"spread_p50_ms"` // from a change to its being in force everywhere
 	SpreadP99               float64 `json:"spread_p99_ms"`
 	SpreadMax               float64 `json:"spread_max_ms"`
+	Unspread                int64   `json:"unspread"`    // changes not in force everywhere at the end of the run
 	ToldMax                 float64 `json:"told_max_ms"` // from discovery's return to the last copy's being answered
 }
 
@@ -77,10 +89,11 @@
 // Second is one second of the run.
 type Second struct {
 	At          float64 `json:"at_s"`
-	Asked       int64   `json:"asked"`
+	Asked       int64   `json:"asked"` // of the clients' calls that came in this second
 	Served      int64   `json:"served"`
 	Refused     int64   `json:"refused"`
 	Failed      int64   `json:"failed"`
+	Late        int64   `json:"late"`
 	ListCalls   int64   `json:"list_calls"`
 	Changes     int64   `json:"changes"`
 	Connections int64   `json:"connections"`
