--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -33,7 +33,7 @@
 	Racks int    `toml:"racks"` // of each zone
 }
 
-// Service is one service of the call graph. Each of its endpoints has a sidecar of its own for the calls it makes; one
+// Service is one service of the call graph. If it calls others, each of its endpoints has a sidecar of its own for that; one
 // with Front > 0 also has so many sidecars at the front, through which clients come.
 //
 // A file may write several alike as one with Copies > 1: "svc" with 14 copies becomes svc-0 to svc-13, each with
