--- a/cmd/fleetlab/main.go
+++ b/cmd/fleetlab/main.go
@@ -13,7 +13,6 @@
 	"runtime/debug"
 	"strings"
 	"syscall"
-	"time"
 
 	"github.com/alecthomas/kong"
 	"github.com/mattn/go-isatty"
@@ -69,13 +68,14 @@
 	play           func(context.Context, *experiment.Experiment, experiment.Progress) (*experiment.Result, error)
 	estimate       func(*experiment.Experiment) int64 // bytes that a run needs
 	memory         func() int64                       // bytes that the machine has
+	version        string
 }
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	context.AfterFunc(ctx, stop) // a second signal ends the program at once
 	l := lab{stdout: os.Stdout, stderr: os.Stderr, terminal: isatty.IsTerminal(os.Stderr.Fd()), play: play,
-		estimate: estimate, memory: memory}
+		estimate: estimate, memory: memory, version: version()}
 	os.Exit(l.main(ctx, os.Args[1:]))
 }
 
@@ -109,7 +109,7 @@
 	case "example":
 		_, err = io.WriteString(l.stdout, experiment.Example)
 	case "version":
-		_, err = fmt.Fprintln(l.stdout, "fleetlab", version())
+		_, err = fmt.Fprintln(l.stdout, "fleetlab", l.version)
 	}
 	if err == nil {
 		return exitDone
@@ -206,6 +206,3 @@
 func estimate(e *experiment.Experiment) int64 { return int64(e.Processes()) * perProcess }
 
 const perProcess = 1 << 20 // bytes
-
-// clock is real time, for what is shown to people.
-var clock = time.Now
--- a/cmd/fleetlab/main_test.go
+++ b/cmd/fleetlab/main_test.go
@@ -28,7 +28,7 @@
 
 func newBench() *bench {
 	b := &bench{}
-	b.lab = lab{stdout: &b.stdout, stderr: &b.stderr, memory: func() int64 { return 16 << 30 },
+	b.lab = lab{stdout: &b.stdout, stderr: &b.stderr, memory: func() int64 { return 16 << 30 }, version: "abc go1",
 		estimate: func(e *experiment.Experiment) int64 { return int64(e.Endpoints()) << 20 },
 		play: func(ctx context.Context, e *experiment.Experiment, p experiment.Progress) (*experiment.Result, error) {
 			b.played = append(b.played, fmt.Sprint(e.Name, " ", e.Seed))
@@ -41,7 +41,7 @@
 // result is what a run might measure.
 func result(e *experiment.Experiment) *experiment.Result {
 	calls := experiment.Calls{Asked: 1000, Served: 990, InTime: 975, Refused: 6, Failed: 4, Late: 15, P50: 12.34, P99: 123.4, P999: 456}
-	return &experiment.Result{Name: e.Name, Seed: e.Seed, Version: "abc go1", Virtual: 60, Real: 1.5, HeapMB: 20, Processes: 14, PerKB: 1463,
+	return &experiment.Result{Name: e.Name, Seed: e.Seed, Virtual: 60, Real: 1.5, HeapMB: 20, Processes: 14, PerKB: 1463,
 		Thinned: map[string]float64{"svc-1": 0.02}, Calls: calls,
 		Services: []experiment.ServiceResult{{Name: "svc-0", Calls: calls, WorstCold: 0.5}, {Name: "svc-1", Falls: 1}},
 		Faults: []experiment.FaultResult{{Fault: "machine svc-1", At: 10_000, Lost: 7, Recovered: 1500, ListCalls: 3},
@@ -229,6 +229,26 @@
 	}
 }
 
+// A result may be named by a link, which stays one.
+func TestResultsThroughALink(t *testing.T) {
+	dir, old := t.TempDir(), write(t, "old.jsonl", "old")
+	link := filepath.Join(dir, "link")
+	if err := os.Symlink(old, link); err != nil {
+		t.Fatal(err)
+	}
+	b := newBench()
+	if code := b.main(t.Context(), []string{"run", "-o", link, write(t, "first.toml", experiment.Example)}); code != exitDone {
+		t.Fatalf("exit %d, told %s", code, &b.stderr)
+	}
+	info, err := os.Lstat(link)
+	if err != nil || info.Mode()&os.ModeSymlink == 0 || names(t, dir) != "link" || names(t, filepath.Dir(old)) != "old.jsonl" {
+		t.Errorf("link %v, error %v", info, err)
+	}
+	if text, err := os.ReadFile(old); err != nil || !strings.HasPrefix(string(text), "{") {
+		t.Errorf("result %q, error %v", text, err)
+	}
+}
+
 // The table is aligned, and tells the runs, the services, the faults and the control traffic.
 func TestTable(t *testing.T) {
 	b := newBench()
--- a/cmd/fleetlab/run.go
+++ b/cmd/fleetlab/run.go
@@ -123,9 +123,9 @@
 	run := *e
 	run.Seed = seed
 	log.Info("run begins", "name", e.Name, "sidecars", e.Processes(), "virtual", e.Warmup+e.Duration)
-	begun := clock()
+	begun := time.Now()
 	res, err := l.play(ctx, &run, func(done, of time.Duration) {
-		con.show(progressLine(e.Name, seed, done, of, clock().Sub(begun)))
+		con.show(progressLine(e.Name, seed, done, of, time.Since(begun)))
 	})
 	con.clear()
 	if err != nil {
@@ -134,9 +134,7 @@
 		}
 		return nil, err
 	}
-	if res.Version == "" {
-		res.Version = version()
-	}
+	res.Version = l.version
 	log.Info("run done", "name", e.Name, "real_s", figure(res.Real), "heap_mb", figure(res.HeapMB), "asked", res.Calls.Asked,
 		"in_time", res.Calls.InTime)
 	return res, nil
