--- a/internal/experiment/result.go
+++ b/internal/experiment/result.go
@@ -82,7 +82,7 @@
 	At        float64 `json:"at_ms"`
 	Lost      int64   `json:"lost"`         // calls refused, failed or late between its start and recovery
 	Recovered float64 `json:"recovered_ms"` // from its end until a second is served as before; -1 = not in this run
-	ListCalls int64   `json:"list_calls"`   // that discovery saw between its start and recovery
+	ListCalls int64   `json:"list_calls"`   // that discovery saw from its start until recovery and until all were answered
 	ToldMax   float64 `json:"told_max_ms"`  // from its end until the last sidecar had been answered
 }
 
