Fit what something costs against its size

Questions on capacity need more than single figures: whether a cost is constant, linear or quadratic, and how well that is known. The exponent of the two largest sizes stands by itself, as a constant part hides the exponent of all.

--- /dev/null
+++ b/internal/slope/slope_test.go
@@ -0,0 +1,101 @@
+package slope
+
+import (
+	"encoding/json"
+	"errors"
+	"math"
+	"strings"
+	"testing"
+)
+
+// points are y = f(x) at some sizes, not in order.
+func points(f func(x float64) float64) []Point {
+	var out []Point
+	for _, x := range []float64{300, 10, 2800, 100, 1000} {
+		out = append(out, Point{x, f(x)})
+	}
+	return out
+}
+
+func near(a, b float64) bool { return math.Abs(a-b) <= 1e-9*max(1, math.Abs(b)) }
+
+func TestALineIsFoundExactly(t *testing.T) {
+	f, err := Of(points(func(x float64) float64 { return 2 + 0.5*x }))
+	if err != nil || !near(f.Slope, 0.5) || !near(f.Intercept, 2) || !near(f.R2, 1) {
+		t.Errorf("%+v, %v", f, err)
+	}
+	if !(f.Exponent < 1) || !(f.End > f.Exponent) || f.End > 1 {
+		t.Errorf("%+v: a constant part lowers the exponent, least at the largest sizes", f)
+	}
+}
+
+func TestExponentsOfPowerLawsAreFoundExactly(t *testing.T) {
+	for _, e := range []float64{0.5, 1, 2, 3} {
+		f, err := Of(points(func(x float64) float64 { return 3 * math.Pow(x, e) }))
+		if err != nil || !near(f.Exponent, e) || !near(f.End, e) || !near(f.LogR2, 1) || f.LogPoints != 5 {
+			t.Errorf("exponent %v: %+v, %v", e, f, err)
+		}
+	}
+}
+
+// The textbook set of Anscombe: slope 0.500, intercept 3.00, r² 0.667.
+func TestScatteredPoints(t *testing.T) {
+	f, err := Of([]Point{{10, 8.04}, {8, 6.95}, {13, 7.58}, {9, 8.81}, {11, 8.33}, {14, 9.96}, {6, 7.24}, {4, 4.26},
+		{12, 10.84}, {7, 4.82}, {5, 5.68}})
+	if err != nil || math.Abs(f.Slope-0.5001) > 1e-4 || math.Abs(f.Intercept-3.0001) > 1e-4 || math.Abs(f.R2-0.6665) > 1e-4 {
+		t.Errorf("%+v, %v", f, err)
+	}
+}
+
+func TestConstantCostsHaveNoSlope(t *testing.T) {
+	f, err := Of(points(func(float64) float64 { return 7 }))
+	if err != nil || !near(f.Slope, 0) || !near(f.Intercept, 7) || f.R2 != 1 || !near(f.Exponent, 0) {
+		t.Errorf("%+v, %v", f, err)
+	}
+}
+
+func TestNothingAndNegativesAreLeftOutOfTheExponent(t *testing.T) {
+	f, err := Of([]Point{{0, 1}, {1, 3}, {2, 6}, {3, -1}})
+	if err != nil || f.LogPoints != 2 || !near(f.Exponent, 1) {
+		t.Errorf("%+v, %v", f, err)
+	}
+	f, err = Of([]Point{{0, 1}, {1, 3}})
+	if err != nil || f.LogPoints != 0 || f.Exponent != 0 || f.Slope != 2 {
+		t.Errorf("one positive size: %+v, %v", f, err)
+	}
+}
+
+func TestTooFewSizesAndNoNumbersAreErrors(t *testing.T) {
+	for _, few := range [][]Point{nil, {{1, 2}}, {{1, 2}, {1, 3}}} {
+		if _, err := Of(few); !errors.Is(err, ErrPoints) {
+			t.Errorf("%v: error %v", few, err)
+		}
+	}
+	for _, bad := range []float64{math.NaN(), math.Inf(1)} {
+		if _, err := Of([]Point{{1, 2}, {2, bad}}); err == nil || !strings.Contains(err.Error(), "no number") {
+			t.Errorf("%v: error %v", bad, err)
+		}
+	}
+}
+
+func TestSeriesAreWrittenWithTheirFit(t *testing.T) {
+	s := Series{Name: "call", X: "servers", Y: "µs"}
+	s.Add(1, 3)
+	s.Add(2, 5)
+	text, err := json.Marshal([]Series{s, {Name: "none"}})
+	if err != nil || !strings.Contains(string(text), `"slope":2,"intercept":1`) || strings.Count(string(text), `"fit"`) != 1 {
+		t.Errorf("%s, %v", text, err)
+	}
+	var table strings.Builder
+	err = Markdown(&table, []Series{s, {Name: "none"}})
+	lines := strings.Split(table.String(), "\n")
+	if err != nil || len(lines) != 5 || !strings.HasPrefix(lines[2], "| call | servers | µs | 2 | 1 | 1.000 | 0.74") ||
+		!strings.HasSuffix(lines[2], "| 1: 3, 2: 5 |") {
+		t.Errorf("%q, %v", lines, err)
+	}
+	for i, l := range lines[:4] {
+		if strings.Count(l, "|") != 10 {
+			t.Errorf("line %d has %d bars: %q", i, strings.Count(l, "|"), l)
+		}
+	}
+}
