End a drain in its time though a connection still waits for room

Cause: a new connection now waits its turn where clients crowd (add), inside the accept loop; drain waited for that loop's end before it did anything, so that a crowd of half requests could hold the drain past its last moment. Found by reading the change; no play showed it.

Change: drain asks quiet connections at once and waits for the accept loop only as far as its time goes; what is accepted but not counted yet still counts.

Result: TestDrainDoesNotWaitForRoom fails without it (10 s), the other tests of drains pass with -race.

--- a/internal/sidecar/downstream.go
+++ b/internal/sidecar/downstream.go
@@ -211,16 +211,24 @@
 }
 
 // drain closes what is quiet, until nothing is left or the time is up. What has begun to come may still become a
-// request, and is answered.
+// request, and is answered. A connection that still waits for room must not hold the others up.
 func (cs *downstream) drain(until time.Time) {
-	<-cs.ended // one that is accepted but not yet counted is not missed
-	for left := 1; left > 0 && time.Now().Before(until); {
+	for time.Now().Before(until) {
+		all := false // are counted: one that is accepted but not yet counted is not missed
+		select {
+		case <-cs.ended:
+			all = true
+		default:
+		}
 		cs.mu.Lock()
 		for e := cs.quiet.Front(); e != nil; e = cs.quiet.Front() {
 			cs.ask(e.Value.(*downstreamConn))
 		}
-		left = cs.open
+		left := cs.open
 		cs.mu.Unlock()
+		if all && left == 0 {
+			return
+		}
 		time.Sleep(drainPoll)
 	}
 }
--- a/internal/sidecar/race_test.go
+++ b/internal/sidecar/race_test.go
@@ -437,6 +437,29 @@
 	})
 }
 
+// A connection that waits for room when the drain begins holds nothing up: the drain ends in its time.
+func TestDrainDoesNotWaitForRoom(t *testing.T) {
+	accepted := make(chan struct{}, 2*spareDownstream+1)
+	s := undrained(t, echo, func(s *Sidecar) {
+		s.front.downstream.most, s.front.downstream.slow, s.front.quiet = 2*spareDownstream, time.Hour, time.Hour
+		hooked(func(c *net.TCPConn) net.Conn { accepted <- struct{}{}; return c })(s)
+	})
+	for range 2 * spareDownstream {
+		comesTo(t, s, dial(t, s))
+	}
+	dial(t, s)
+	for range 2*spareDownstream + 1 {
+		<-accepted
+	}
+	drained := make(chan struct{})
+	go func() { s.listener.Close(); s.front.downstream.drain(time.Now()); close(drained) }()
+	select {
+	case <-drained:
+	case <-time.After(long):
+		t.Error("the drain waits for a connection that waits for room")
+	}
+}
+
 // A request that has begun to come when the sidecar closes quiet connections may be whole at any moment, and is taken
 // then: it is waited for and answered.
 func TestDrainWaitsForARequestThatComes(t *testing.T) {
