Ask discovery in turns by rank, beside calls that hang, within 6 s of its return

Cause: a change counts as told 6 s after discovery had it and could be reached. The module's back-off doubled up to AskEvery with half as much again (balancer.go, list), and a call was waited for alone, 4 s (discovery.go, watch). An answered watch with nothing to tell did not end the back-off, nor did a move. Calls to an agent were given up after 0.5 s each, so a fleet whose calls are handled in turn for longer than that was never answered.

Change: after a failed call every copy has one turn by its rank in each round of 4 s (1 s once a watch broke or discovery moved), in nextTurn. When calls wait, count as overdue or are given up, and when a watch is dead, is decided in internal/listwatch, sans-I/O; sidecar/discovery.go makes its calls and keeps its time. The loop's timer is set for 1 us at least: its clock is cut to that, and it would spin where time stands still meanwhile, as in a test in virtual time.

In TestSilenceLeavesTimeToAskAgain the two constants are the policy's now, with the same bounds; the other tests give the policy in place of the fields it replaced.

--- a/api.go
+++ b/api.go
@@ -172,6 +172,7 @@
 	ListCached                 // whole, as last held; may be outdated
 	ListDelta                  // changed entries only
 	ListFull                   // whole: what is absent is gone
+	ListMoved                  // the next calls go elsewhere; the old list stays
 )
 
 // Outcome is how an attempt ended.
@@ -245,7 +246,7 @@
 	ActFail                         // Request: final; promises nothing
 	ActCancel                       // Request, Attempt: stop waiting for an attempt
 	ActTimer                        // After, Token
-	ActWatch                        // subscribe to list changes
+	ActWatch                        // subscribe to list changes; nothing to do if that is so
 	ActProbe                        // Server: ask it for a load report
 	ActLog                          // Text
 	ActClose                        // Server: close the idle connections to it
--- a/balancer.go
+++ b/balancer.go
@@ -59,7 +59,8 @@
 	wakeMost        = 20.0    // longest timer while calls wait
 	comeBack        = 1000.0  // a refused client is asked back then: answers have been measured anew
 	askSpread       = 0.3     // first call to the list is spread over this share of AskEvery
-	askBackoff      = 1000.0  // first wait after a failed call to the list; doubles, with jitter
+	askSoon         = 1000.0  // round of calls for the list, by all copies, once a watch broke or moved
+	askRound        = 4000.0  // and after that: of the 6 s till changes are told, 2 are left for an answer
 )
 
 // sample is one outcome at a server: latency as a ratio to its class's threshold.
@@ -190,7 +191,7 @@
 	wakeAt                    float64 // when the pending timer is due; 0 = none
 	timer                     uint64  // its number
 	askAt                     float64 // when the list is to be asked; 0 = not
-	backoff                   float64
+	askRounds                 float64 // length of the copies' next round of calls
 }
 
 // New returns a balancer for one copy. The seed makes its random numbers.
@@ -222,7 +223,7 @@
 		b.tenants = append(b.tenants, bucket{tokens: most, at: now, rate: rate, most: most})
 	}
 	if set.ListOnRequest {
-		b.backoff = askBackoff
+		b.askRounds = askSoon
 		b.askAt = now + b.random()*askSpread*set.Safety.AskEvery
 	}
 	b.leastFrom = now + 2*b.silence
@@ -1029,14 +1030,18 @@
 // --- The list of servers.
 
 func (b *Balancer) list(ev *Event) {
-	if ev.List == ListFailed {
-		if b.set.ListOnRequest && b.askAt == 0 {
-			b.askAt = b.now + b.backoff*(0.5+b.random())
-			b.backoff = min(2*b.backoff, max(askBackoff, b.set.Safety.AskEvery))
+	if ev.List != ListFailed { // it could be reached, or is elsewhere
+		b.askRounds = askSoon
+	}
+	if ev.List == ListFailed || ev.List == ListMoved {
+		if at := b.nextTurn(); b.set.ListOnRequest && (b.askAt == 0 || at < b.askAt) {
+			b.askAt = at
+		}
+		if ev.List == ListFailed {
+			b.askRounds = askRound
 		}
 		return
 	}
-	b.backoff = askBackoff
 	if ev.List != ListDelta {
 		for _, s := range b.byID {
 			s.listed = false
@@ -1061,6 +1066,15 @@
 	b.assignSubset()
 }
 
+// nextTurn is this copy's next turn to ask for the list. By rank every copy has one in each round: it asks
+// as often while discovery is away as at its return, evenly with the others, and tiers in between. A clock
+// that is off moves turns but not their rate. They are whole, so that sums are exact.
+func (b *Balancer) nextTurn() float64 {
+	place := float64(b.set.Rank) + float64(b.set.Stage)/float64(b.set.Stages)
+	turn := math.Floor(askRound * math.Mod(place/float64(b.set.Copies), 1))
+	return b.now + b.askRounds - math.Mod(b.now+askRound-turn, b.askRounds)
+}
+
 // closeIdle closes the idle connections to a server that drains: on the notice, after each outcome and probe
 // there, and once more later, for one that was still being opened. A quiet copy would hold the drain up.
 func (b *Balancer) closeIdle(s *server) {
--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -19,20 +18,12 @@
 	"time"
 
 	"forkline"
+	"forkline/internal/listwatch"
 )
 
 const (
-	// What a silent watch misses counts as told 6 s later, and what it takes to have another one answered is the
-	// module's first back-off, up to 1.5 s, and the call. A watch beats every 2 s.
-	watchSilence = 3 * time.Second // after which it is dead
-	callTime     = 4 * time.Second // longest wait for a call's turn, for the same reason
-	dialList     = 2 * time.Second
-	// What an agent that pushes has counts as told at once, whether or not a watch is open: it is nearby, and serves at
-	// once or not at all.
-	agentTime  = 500 * time.Millisecond // longest wait for its answer
-	agentPause = 200 * time.Millisecond // between watches on it, give or take a half
-	agentFirst = time.Second            // after which a new process makes do with the list that it was started with
-	maxObject  = 8 << 20                // bytes of one object of a watch
+	agentFirst = time.Second // after which a new process makes do with the list that it was started with
+	maxObject  = 8 << 20     // bytes of one object of a watch
 )
 
 // List is what discovery tells: a whole list or changes.
@@ -135,22 +126,33 @@
 	}
 }
 
-// discovery holds the watch on the list. Where the list is asked for, the module says when to watch;
-// where it is pushed, the watch is on an agent nearby and is taken up again by itself.
-// A newer watch takes over from an older one as soon as it is answered, so that a move leaves no gap.
+// discovery makes the calls that a listwatch.Watcher asks for and keeps its time. Where the list is asked for, the
+// module says when to call; where it is pushed, the Watcher does.
 type discovery struct {
-	silence time.Duration // after which a watch is dead
-	call    time.Duration // longest wait for an answer; 0 = callTime
-	tell    func(List)    // a list or a change came
-	failed  func()        // the latest call failed or its watch broke
+	policy   listwatch.Policy
+	tell     func(List)                                      // a list or a change came
+	failed   func()                                          // the latest call failed, is overdue, or its watch broke
+	answered func()                                          // a call was answered, maybe with no list; nil = nobody wants to know
+	dial     func(context.Context, string) (net.Conn, error) // nil = over TCP
+	random   func() float64                                  // the next number in [0, 1); nil = any
 
-	mu    sync.Mutex
-	addr  string
-	rev   int64  // version of the list held
-	takes int    // number of the latest follow
-	begun int    // number of the latest watch
-	heard int    // number of the one that is listened to
-	end   func() // ends that one
+	mu      sync.Mutex
+	addr    string
+	rev     int64 // version of the list held
+	base    context.Context
+	start   time.Time
+	watcher *listwatch.Watcher
+	acts    []listwatch.Action
+	calls   map[int]*watchCall // those under way
+	begun   *watchCall         // the last one that was begun
+	timer   *time.Timer        // for the Watcher's next tick
+}
+
+// watchCall is one call, and its watch once it is answered.
+type watchCall struct {
+	number int
+	end    func()
+	done   chan struct{} // closed when it is over
 }
 
 // move has the next watches made at another address and tells whether it is one.
@@ -158,68 +160,109 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	moved := d.addr != addr
-	d.addr = addr
+	if d.addr = addr; moved {
+		d.handle(listwatch.Event{Kind: listwatch.EvMoved})
+	}
 	return moved
 }
 
-// follow keeps a pushed list watched until ctx ends or a later follow is begun. The address does not tell: discovery
-// may have moved back meanwhile, and two that follow at one address would take the watch from each other for good.
+// follow has a pushed list watched until ctx ends.
 func (d *discovery) follow(ctx context.Context) {
 	d.mu.Lock()
-	d.takes++
-	take := d.takes
+	defer d.mu.Unlock()
+	d.base = ctx
+	d.handle(listwatch.Event{Kind: listwatch.EvFollow})
+}
+
+// once has the list watched, unless it is, and waits until the call and its watch are over.
+func (d *discovery) once(ctx context.Context) {
+	d.mu.Lock()
+	d.base = ctx
+	before := d.begun
+	d.handle(listwatch.Event{Kind: listwatch.EvAsk})
+	c := d.begun
 	d.mu.Unlock()
-	for latest := true; latest && ctx.Err() == nil; {
-		d.once(ctx)
-		select {
-		case <-time.After(agentPause/2 + rand.N(agentPause)):
-		case <-ctx.Done():
+	if c != before {
+		<-c.done
+	}
+}
+
+// handle gives the Watcher an event and carries its actions out. It needs the mutex.
+func (d *discovery) handle(ev listwatch.Event) {
+	if d.watcher == nil {
+		if d.random == nil {
+			d.random = rand.Float64
+		}
+		d.watcher, d.start, d.calls = listwatch.NewWatcher(d.policy, d.random), time.Now(), map[int]*watchCall{}
+		d.timer = time.AfterFunc(time.Hour, d.tick)
+		d.timer.Stop()
+	}
+	if d.base != nil && d.base.Err() != nil {
+		return // nothing is followed any more
+	}
+	d.acts = d.watcher.Handle(time.Since(d.start), ev, d.acts[:0])
+	for _, a := range d.acts {
+		switch a.Kind {
+		case listwatch.ActCall:
+			ctx, end := context.WithCancel(d.base)
+			d.begun = &watchCall{number: a.Call, end: end, done: make(chan struct{})}
+			d.calls[a.Call] = d.begun
+			go d.run(ctx, d.begun, d.addr, d.rev)
+		case listwatch.ActDrop:
+			if c := d.calls[a.Call]; c != nil {
+				c.end()
+			}
+		case listwatch.ActFailed:
+			d.failed()
 		}
-		d.mu.Lock()
-		latest = take == d.takes
-		d.mu.Unlock()
+	}
+	if at, ok := d.watcher.Next(); ok {
+		d.timer.Reset(at - time.Since(d.start))
+	} else {
+		d.timer.Stop()
 	}
 }
 
-// once watches until the watch ends, and reports that unless a later watch has been begun meanwhile.
-func (d *discovery) once(ctx context.Context) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+func (d *discovery) tick() {
 	d.mu.Lock()
-	d.begun++
-	number, addr, rev := d.begun, d.addr, d.rev
-	d.mu.Unlock()
-	err := d.watch(ctx, addr, rev, func(f func()) error { return d.hear(number, cancel, f) })
+	defer d.mu.Unlock()
+	d.handle(listwatch.Event{Kind: listwatch.EvTick})
+}
+
+// run makes one call and reports its end.
+func (d *discovery) run(ctx context.Context, c *watchCall, addr string, rev int64) {
+	err := d.watch(ctx, c.number, addr, rev)
+	c.end()
+	slog.Info("watch ended", "addr", addr, "err", err)
 	d.mu.Lock()
-	latest := number == d.begun
-	d.mu.Unlock()
-	slog.Info("watch ended", "addr", addr, "latest", latest, "err", err)
-	if latest {
-		d.failed()
-	}
+	defer d.mu.Unlock()
+	delete(d.calls, c.number)
+	d.handle(listwatch.Event{Kind: listwatch.EvEnded, Call: c.number})
+	close(c.done)
 }
 
-var errOvertaken = errors.New("a later watch has been answered")
+var errOvertaken = errors.New("another call has been answered")
 
-// hear runs f on behalf of a watch, unless a later one has been heard; the one heard before ends.
-func (d *discovery) hear(number int, cancel func(), f func()) error {
+// hear hands what came on a call to the Watcher and runs f, unless another call is listened to.
+func (d *discovery) hear(number int, kind listwatch.EventKind, f func()) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if number < d.heard {
+	d.handle(listwatch.Event{Kind: kind, Call: number})
+	if d.watcher.Watching() != number {
 		return errOvertaken
 	}
-	if number > d.heard && d.end != nil {
-		d.end()
-	}
-	d.heard, d.end = number, cancel
 	f()
 	return nil
 }
 
-// watch makes one call and passes on what comes, through hear; it returns when the watch is over.
-func (d *discovery) watch(ctx context.Context, addr string, rev int64, hear func(func()) error) error {
-	dialer := net.Dialer{Timeout: min(dialList, cmp.Or(d.call, callTime))}
-	c, err := dialer.DialContext(ctx, "tcp", addr)
+// watch makes one call and passes on what comes; it returns when the watch is over. The Watcher says how long it waits.
+func (d *discovery) watch(ctx context.Context, number int, addr string, rev int64) error {
+	dial := d.dial
+	if dial == nil {
+		dialer := net.Dialer{Timeout: d.policy.Dial}
+		dial = func(ctx context.Context, addr string) (net.Conn, error) { return dialer.DialContext(ctx, "tcp", addr) }
+	}
+	c, err := dial(ctx, addr)
 	if err != nil {
 		return err
 	}
@@ -230,7 +273,6 @@
 	if err != nil {
 		return err
 	}
-	c.SetDeadline(time.Now().Add(cmp.Or(d.call, callTime)))
 	if err := req.Write(c); err != nil {
 		return err
 	}
@@ -241,11 +283,16 @@
 	if res.StatusCode != http.StatusOK {
 		return errors.New(res.Status)
 	}
-	if err := hear(func() {}); err != nil {
+	err = d.hear(number, listwatch.EvAnswered, func() {
+		if d.answered != nil {
+			d.answered()
+		}
+	})
+	if err != nil {
 		return err
 	}
-	objects := &objects{r: bufio.NewReader(res.Body), alive: func() { c.SetDeadline(time.Now().Add(d.silence)) }}
-	for objects.alive(); ; {
+	alive := func() { d.hear(number, listwatch.EvAlive, func() {}) } // one that is overtaken ends by itself
+	for objects := (&objects{r: bufio.NewReader(res.Body), alive: alive}); ; {
 		text, err := objects.next()
 		if err != nil {
 			return err
@@ -254,7 +301,7 @@
 		if err != nil {
 			return fmt.Errorf("list: %w", err)
 		}
-		if err := hear(func() { d.rev = l.Rev; d.tell(l) }); err != nil {
+		if err := d.hear(number, listwatch.EvAlive, func() { d.rev = l.Rev; d.tell(l) }); err != nil {
 			return err
 		}
 	}
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -155,7 +155,7 @@
 		l.expire()
 		if len(l.agenda) > 0 && l.agenda[0].at < l.armed {
 			l.armed = l.agenda[0].at
-			l.timer.Reset(time.Until(l.time(l.armed)))
+			l.timer.Reset(max(time.Until(l.time(l.armed)), time.Microsecond)) // the clock has to move on: it is cut to that
 		}
 	}
 }
@@ -408,7 +408,7 @@
 	}
 }
 
-// listFailed hears that a call to discovery failed or its watch broke.
-func (l *loop) listFailed() {
-	l.handle(&forkline.Event{Kind: forkline.EvList, List: forkline.ListFailed})
+// listEvent tells the module of discovery what comes with no entries.
+func (l *loop) listEvent(kind forkline.ListKind) {
+	l.handle(&forkline.Event{Kind: forkline.EvList, List: kind})
 }
--- a/internal/sidecar/race_test.go
+++ b/internal/sidecar/race_test.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"forkline"
+	"forkline/internal/listwatch"
 )
 
 // Tests of narrow moments: each forces a crossing that else comes once in many thousand requests.
@@ -80,7 +81,7 @@
 		ended <- n
 		return false
 	}).Addr().String()
-	d := &discovery{silence: long, addr: here, tell: func(List) {}, failed: func() {}}
+	d := &discovery{policy: unhurried(long), addr: here, tell: func(List) {}, failed: func() {}}
 	first := make(chan struct{})
 	go func() { d.follow(t.Context()); close(first) }()
 	<-calls
@@ -734,7 +735,7 @@
 // Lists may come indented, several on a line, and with braces in their strings.
 func TestListsInAnyForm(t *testing.T) {
 	told := make(chan List, 10)
-	d := &discovery{silence: long, tell: func(l List) { told <- l }, failed: func() {}}
+	d := &discovery{policy: unhurried(long), tell: func(l List) { told <- l }, failed: func() {}}
 	d.addr = script(t, func(_ int, c net.Conn, _ *http.Request) bool {
 		io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\n\n{\n  \"rev\": 1,\n\n  \"all\": true,\n  \"targets\": [\n    {\n      "+
 			"\"uid\": \"}\\\"{\",\r\n\t\"endpoint\": \"127.0.0.1:1\", \"state\": \"Ready\"}\n  ]\n}\n\n {\"rev\":2} {\"rev\":3}\n")
@@ -768,7 +769,7 @@
 		},
 	} {
 		done := make(chan struct{})
-		d := &discovery{silence: 30 * time.Millisecond, call: time.Hour, tell: func(List) {}, failed: func() {}}
+		d := &discovery{policy: unhurried(30 * time.Millisecond), tell: func(List) {}, failed: func() {}}
 		d.addr = script(t, func(_ int, c net.Conn, _ *http.Request) bool {
 			io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\n")
 			f(c)
@@ -790,8 +791,9 @@
 // has to be over, and a call answered.
 func TestSilenceLeavesTimeToAskAgain(t *testing.T) {
 	const told, backOff, answered = 6 * time.Second, 1500 * time.Millisecond, 500 * time.Millisecond
-	if watchSilence+backOff+answered > told || callTime+backOff+answered > told {
-		t.Errorf("silence shows after %v and %v", watchSilence, callTime)
+	p := listwatch.Asked
+	if p.Silence+backOff+answered > told || p.Overdue+backOff+answered > told {
+		t.Errorf("silence shows after %v and %v", p.Silence, p.Overdue)
 	}
 }
 
@@ -820,7 +822,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		if s.discovery.call = long; !silent {
+		if s.discovery.policy = unhurried(long); !silent {
 			s.patience = time.Hour
 		}
 		ctx, cancel := context.WithCancel(context.Background())
@@ -858,7 +860,7 @@
 // that the module asks again.
 func TestAFailingMoveKeepsTheOldWatch(t *testing.T) {
 	next, told, failed := make(chan int64), make(chan int64, 10), make(chan struct{}, 10)
-	d := &discovery{silence: long, rev: 1, tell: func(l List) { told <- l.Rev }, failed: func() { failed <- struct{}{} }}
+	d := &discovery{policy: unhurried(long), rev: 1, tell: func(l List) { told <- l.Rev }, failed: func() { failed <- struct{}{} }}
 	d.addr = script(t, func(_ int, c net.Conn, _ *http.Request) bool {
 		io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\n")
 		for rev := range next {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -6,10 +6,12 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"time"
 
 	"forkline"
+	"forkline/internal/listwatch"
 	"forkline/internal/wire"
 )
 
@@ -55,25 +57,36 @@
 	if s.loop, err = newLoop(&s.cfg, newUpstream(set.Limits, set.Safety.DrainGrace, free-s.downstream)); err != nil {
 		return nil, err
 	}
-	s.discovery = &discovery{
-		addr: cfg.Discovery, rev: cfg.Known.Rev, silence: watchSilence,
+	s.discovery = newDiscovery(&s.cfg, s.loop)
+	if !set.ListOnRequest {
+		s.patience = agentFirst
+	}
+	s.front = newFront(s.loop, set, s.downstream)
+	if s.listener, err = net.Listen("tcp", cfg.Listen); err != nil {
+		return nil, fmt.Errorf("listen: %w", err)
+	}
+	return s, nil
+}
+
+// newDiscovery ties discovery and the loop together; ask or follow begins.
+func newDiscovery(cfg *Config, l *loop) *discovery {
+	d := &discovery{
+		addr: cfg.Discovery, rev: cfg.Known.Rev, policy: listwatch.Pushed,
+		random: rand.New(rand.NewPCG(cfg.Seed, 0)).Float64,
 		tell: func(list List) {
 			kind := forkline.ListDelta
 			if list.All {
 				kind = forkline.ListFull
 			}
-			s.loop.post(func() { s.loop.list(list, kind) })
+			l.post(func() { l.list(list, kind) })
 		},
-		failed: func() { s.loop.post(s.loop.listFailed) },
+		failed: func() { l.post(func() { l.listEvent(forkline.ListFailed) }) },
 	}
-	if !set.ListOnRequest {
-		s.discovery.call, s.patience = agentTime, agentFirst
+	if cfg.Site.Settings.ListOnRequest {
+		d.policy = listwatch.Asked
+		d.answered = func() { l.post(func() { l.listEvent(forkline.ListDelta) }) } // no changes so far
 	}
-	s.front = newFront(s.loop, set, s.downstream)
-	if s.listener, err = net.Listen("tcp", cfg.Listen); err != nil {
-		return nil, fmt.Errorf("listen: %w", err)
-	}
-	return s, nil
+	return d
 }
 
 // Run serves until ctx ends, then finishes what was taken.
@@ -81,8 +94,8 @@
 	watching, stop := context.WithCancel(context.Background()) // drains count to the end
 	defer stop()
 	defer close(s.loop.ended)
-	s.loop.watch = func() { go s.discovery.once(watching) }
 	if s.cfg.Site.Settings.ListOnRequest {
+		s.loop.watch = func() { go s.discovery.once(watching) }
 		s.loop.post(func() { s.loop.list(s.cfg.Known, forkline.ListCached) }) // ahead of what the watch tells
 	} else {
 		// What the agent has counts as told from the first moment on. So nothing is sent by the list of before until
@@ -90,8 +103,7 @@
 		s.loop.known = &s.cfg.Known
 		first := time.AfterFunc(s.patience, func() { s.loop.post(s.loop.useKnown) })
 		defer first.Stop()
-		s.loop.watch = func() { go s.discovery.follow(watching) }
-		s.loop.watch()
+		s.discovery.follow(watching)
 	}
 	go s.loop.run()
 	served := make(chan error, 1)
@@ -111,7 +123,7 @@
 func (s *Sidecar) Move(addr string) {
 	if s.discovery.move(addr) {
 		slog.Info("discovery moves", "addr", addr)
-		s.loop.post(func() { s.loop.watch() })
+		s.loop.post(func() { s.loop.listEvent(forkline.ListMoved) })
 	}
 }
 
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -622,7 +622,7 @@
 	done := make(chan struct{})
 	defer close(done)
 	calls := make(chan string, 10)
-	d := &discovery{silence: 30 * time.Millisecond, rev: 3, tell: func(List) {}, failed: func() {}}
+	d := &discovery{policy: unhurried(30 * time.Millisecond), rev: 3, tell: func(List) {}, failed: func() {}}
 	d.addr = discover(t, func(since string, tell func(List), beat func()) {
 		calls <- since
 		tell(List{Rev: 4})
@@ -642,7 +642,7 @@
 	told, oldEnded := make(chan int64, 10), make(chan struct{})
 	var failures atomic.Int32
 	next := make(chan int64)
-	d := &discovery{silence: long, rev: 1, tell: func(l List) { told <- l.Rev }, failed: func() { failures.Add(1) }}
+	d := &discovery{policy: unhurried(long), rev: 1, tell: func(l List) { told <- l.Rev }, failed: func() { failures.Add(1) }}
 	old := script(t, func(_ int, c net.Conn, _ *http.Request) bool {
 		io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\n")
 		go func() {
@@ -671,7 +671,7 @@
 	go d.once(t.Context())
 	for begun := 0; begun < 2; { // so that the watches begin in the order of the moves
 		d.mu.Lock()
-		begun = d.begun
+		begun = d.begun.number
 		d.mu.Unlock()
 	}
 	next <- 3
@@ -695,7 +695,7 @@
 // Where the list is asked for, the module decides when to ask again, so it must hear of each failure.
 func TestFailedCallIsReported(t *testing.T) {
 	failed := make(chan struct{}, 1)
-	d := &discovery{silence: long, tell: func(List) { t.Error("a list came") }, failed: func() { failed <- struct{}{} }}
+	d := &discovery{policy: unhurried(long), tell: func(List) { t.Error("a list came") }, failed: func() { failed <- struct{}{} }}
 	for name, text := range map[string]string{
 		"turned away": "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n",
 		"reset":       "",
