Deal a cold server's budget out by hash, so that it holds for any number of copies

Cause: what a copy might send to a cold server was credit by time, with room for one whole call at least (accrue) and a random start (entry). Warm servers with open connections go first (choose), so 300 copies saved up parts of 300 calls for each cold one, and spent them at once when the warm ones left the list. In virtual time, 10 of 20 servers cold, nine of the warm ones draining late in the ramp, 240 requests/s: the worst window had 0.35, 0.45, 0.49, 0.84 and 1.11 of what a server bears with 2, 10, 30, 100 and 300 copies. Before that moment the cold ones starve: 0.02 to 0.13 of an even share by warmth on even traffic with 10 and more copies. Where all servers were cold and all copies new, nothing was sent for the whole ramp: credit followed what was sent, which was nothing. Ruled out: the size of the share (on even traffic no window passed 0.20 of what a server bears); the random start by itself (restarts: 0.27 at most).

Some copies, the same by rendezvous hash at all, may send to a cold server; credit is given for the calls that a copy has taken; phases are spread evenly; a whole call not used within 100 ms is lost. A cold server with credit goes before others of its zone, as its part is small. What was sent is no bound where nothing is measured.

--- a/balancer.go
+++ b/balancer.go
@@ -74,6 +74,7 @@
 	held, heldAt      float64 // calls it holds, as it told a probe, and when
 	subsetShare       float64 // part of this server that is this copy's own
 	cold              bool
+	ramp              ramp // while it is cold
 	measured          bool // has a load of its own; others take the mean
 	ejected           bool // at the floor since a run of failures
 	silent            bool // it said nothing for too long, with calls out: the limit is for others
@@ -172,6 +173,8 @@
 	measured, ejections       int     // servers with a load of their own; those of them that are ejected
 	meanLoad                  float64 // mean load of those that are not
 	sends, arrivals           average
+	came                      float64 // calls, ever
+	warm                      int     // servers that are not cold
 	meanAim                   float64
 	taken, further            tally        // requests, and attempts that the retry budget counts
 	hedgeTimers               []hedgeTimer // of attempts of safe classes, the next one first
@@ -293,6 +296,7 @@
 	}
 	b.classes[q.class].share += servedGain
 	b.arrivals.add(b.now, 1)
+	b.came++
 	b.taken.since(b.now - b.set.Safety.BudgetWindow)
 	b.taken.add(b.now)
 	// queue_length: as many calls as were sent of late in the longest wait; unbounded with no server.
@@ -483,7 +487,7 @@
 			rank += 1000 - 10*(s.held+s.run) // each failure in a run weighs like a call held
 		} else if b.overdue(s) {
 			rank -= 40
-		} else if s.subsetShare > 0 && b.subsetTakes(s) {
+		} else if s.subsetShare > 0 && b.subsetTakes(s) || s.cold && b.coldTakes(s) {
 			rank += 40
 		} else if own := int(s.Zone) == b.set.Zone; own && b.linked(s) {
 			rank += 30 // connections cost both ends and are few: open another only at need
@@ -519,9 +523,18 @@
 // subsetTakes tells whether a server of the own subset takes this call: it has few out and, if slower than
 // the tier, keeps only a part of its calls by chance. Without it, servers of all speeds are loaded alike.
 func (b *Balancer) subsetTakes(s *server) bool {
-	few := s.run <= runLimit && float64(s.out) < subsetHeld*s.subsetShare/(1+s.run)
+	return s.run <= runLimit && float64(s.out) < subsetHeld*s.subsetShare/(1+s.run) && b.quick(s)
+}
+
+// coldTakes tells whether a cold server with credit goes before others: its part is small, and soon lost.
+func (b *Balancer) coldTakes(s *server) bool {
+	return int(s.Zone) == b.set.Zone && s.run < 1 && b.quick(s)
+}
+
+// quick holds for a server as fast as the tier; for a slower one by chance.
+func (b *Balancer) quick(s *server) bool {
 	own, tier := s.meanLatency, b.tierLatency
-	return few && (own <= tier || b.random()*own*own < tier*tier)
+	return own <= tier || b.random()*own*own < tier*tier
 }
 
 // linked tells whether a call finds an open connection there, as far as known.
@@ -859,11 +872,22 @@
 func (b *Balancer) accrue(s *server) float64 {
 	load := b.loadOf(s)
 	most := max(1, load*creditTime/1000)
-	s.credit = min(most, s.credit+load*(b.now-s.accruedAt)/1000)
+	if s.cold { // for the calls that came, not by time: rates of thin traffic are guesses, and read too high
+		demand := max(s.ramp.demand, b.demand())
+		more := load / max(b.arrivals.rate, 1e-9) * (demand - s.ramp.demand)
+		s.credit, s.ramp.demand = s.ramp.refill(s.credit, more, most, b.now), demand
+	} else {
+		s.credit = min(most, s.credit+load*(b.now-s.accruedAt)/1000)
+	}
 	s.accruedAt = b.now
 	return most
 }
 
+// demand is the calls that came so far, each counted over demandTime: a burst reaches cold servers late.
+func (b *Balancer) demand() float64 {
+	return b.came - b.arrivals.rate*math.Exp((b.arrivals.at-b.now)/demandTime)*demandTime/1000
+}
+
 // loadOf is the load a server is given now, in calls a second of this copy.
 func (b *Balancer) loadOf(s *server) float64 {
 	load := s.load
@@ -877,7 +901,14 @@
 		age := b.now - s.Started
 		if age < b.set.Safety.Ramp {
 			from, share := b.set.Safety.ColdFrom, b.arrivals.rate/float64(max(len(b.live), 1))
-			return min(load, coldPart*share*(from+(1-from)*max(age, 0)/b.set.Safety.Ramp))
+			weight := s.ramp.weight(b.set.Copies, max(len(b.live), 1), b.warm)
+			most := weight * coldPart * share * (from + (1-from)*max(age, 0)/b.set.Safety.Ramp)
+			if !s.measured && b.measured == 0 { // all cold at the start: nothing was sent, nor ever would be
+				return most
+			} else if !s.measured {
+				load *= weight
+			}
+			return min(load, most)
 		}
 		s.cold = false
 	}
@@ -993,8 +1024,11 @@
 // names servers that cannot serve: their share jams the rest till the next revision.
 func (b *Balancer) recount() {
 	sum, n, ejected, serving := 0.0, 0, 0, 0.0
-	b.out = 0
+	b.out, b.warm = 0, 0
 	for _, s := range b.live {
+		if !s.cold {
+			b.warm++
+		}
 		if s.ejected {
 			ejected++
 		} else if s.measured {
@@ -1125,8 +1159,9 @@
 	if fresh {
 		b.unmeasure(s)
 		s.maxLoad, s.meanLatency, s.linked = 0, 0, false
-		if b.now-s.Started < b.set.Safety.Ramp { // credit by chance: copies must not all send at once
-			s.cold, s.credit, s.accruedAt = true, b.random(), b.now
+		if b.now-s.Started < b.set.Safety.Ramp {
+			s.ramp = newRamp(&b.set, e, b.demand())
+			s.cold, s.credit, s.accruedAt = true, s.ramp.phase(), b.now
 		}
 	}
 	s.listed = e.State != Gone
