Give a cold server a finite load where the settings allow no time to become warm in

Cause: with Ramp 0 and a start in the future (clocks differ) loadOf divided 0 by 0; the load and the credit were NaN from then on, and every comparison with them false.

Change: the time to become warm in is 1 ms at least.

--- a/balancer.go
+++ b/balancer.go
@@ -902,7 +902,7 @@
 		if age < b.set.Safety.Ramp {
 			from, share := b.set.Safety.ColdFrom, b.arrivals.rate/float64(max(len(b.live), 1))
 			weight := s.ramp.weight(b.set.Copies, max(len(b.live), 1), b.warm)
-			most := weight * coldPart * share * (from + (1-from)*max(age, 0)/b.set.Safety.Ramp)
+			most := weight * coldPart * share * (from + (1-from)*max(age, 0)/max(b.set.Safety.Ramp, 1))
 			if !s.measured && b.measured == 0 { // all cold at the start: nothing was sent, nor ever would be
 				return most
 			} else if !s.measured {
