Give cold servers the whole of their budget from the copies of their own zone

Cause: a copy sends across zones only at need, so the parts of other zones' copies in a cold server's budget lapsed (choose). With three zones the cold ones got 0.22 to 0.24 of an even share on thick traffic, of 0.7.

Change: where a copy's zone has servers, other zones' cold servers get nothing from it, and those of its own zone so many times its part as there are zones (loadOf). The sum stays the budget where zones have even traffic, and is a zone's own traffic over an even one's where not.

--- a/balancer.go
+++ b/balancer.go
@@ -163,6 +163,7 @@
 	turn                      float64   // time a call takes for each call its server held, where probes tell
 	probing                   bool
 	zoneServers               []*server // of the own zone, in the order in which all copies deal them out
+	zones                     int       // in which there are servers
 	requests                  map[uint32]*request
 	queue, spare              []*request
 	sweepAt                   float64 // when the first waiting call is to be given up
@@ -487,8 +488,8 @@
 			rank += 1000 - 10*(s.held+s.run) // each failure in a run weighs like a call held
 		} else if b.overdue(s) {
 			rank -= 40
-		} else if s.subsetShare > 0 && b.subsetTakes(s) || s.cold && b.coldTakes(s) {
-			rank += 40
+		} else if s.subsetShare > 0 && b.subsetTakes(s) || s.cold && s.run < 1 && b.quick(s) {
+			rank += 40 // what a cold one may get is little, and lost if not used
 		} else if own := int(s.Zone) == b.set.Zone; own && b.linked(s) {
 			rank += 30 // connections cost both ends and are few: open another only at need
 		} else if b.linked(s) {
@@ -526,11 +527,6 @@
 	return s.run <= runLimit && float64(s.out) < subsetHeld*s.subsetShare/(1+s.run) && b.quick(s)
 }
 
-// coldTakes tells whether a cold server with credit goes before others: its part is small, and soon lost.
-func (b *Balancer) coldTakes(s *server) bool {
-	return int(s.Zone) == b.set.Zone && s.run < 1 && b.quick(s)
-}
-
 // quick holds for a server as fast as the tier; for a slower one by chance.
 func (b *Balancer) quick(s *server) bool {
 	own, tier := s.meanLatency, b.tierLatency
@@ -902,6 +898,11 @@
 		if age < b.set.Safety.Ramp {
 			from, share := b.set.Safety.ColdFrom, b.arrivals.rate/float64(max(len(b.live), 1))
 			weight := s.ramp.weight(b.set.Copies, max(len(b.live), 1), b.warm)
+			if len(b.zoneServers) > 0 && int(s.Zone) != b.set.Zone {
+				weight = 0
+			} else if len(b.zoneServers) > 0 {
+				weight *= float64(b.zones) // for the copies of other zones
+			}
 			most := weight * coldPart * share * (from + (1-from)*max(age, 0)/max(b.set.Safety.Ramp, 1))
 			if !s.measured && b.measured == 0 { // all cold at the start: nothing was sent, nor ever would be
 				return most
@@ -1126,9 +1127,13 @@
 // assignSubset deals the zone's servers out over the copies: an even stretch each of one order that all know.
 // A copy sees only its own calls, so without this each server is loaded by chance.
 func (b *Balancer) assignSubset() {
-	zones := 1
-	b.zoneServers = b.zoneServers[:0]
+	zones, seen := 1, [256]bool{}
+	b.zoneServers, b.zones = b.zoneServers[:0], 0
 	for _, s := range b.live {
+		if !seen[s.Zone] {
+			seen[s.Zone] = true
+			b.zones++
+		}
 		s.subsetShare = 0
 		zones = max(zones, int(s.Zone)+1)
 		if int(s.Zone) == b.set.Zone {
--- a/ramp_test.go
+++ b/ramp_test.go
@@ -35,6 +35,7 @@
 	copies, servers, cold int
 	rate                  float64 // requests a second, over all copies
 	heavy                 float64 // rate of every fifth copy, over that of the others; 0 = even
+	zones                 int     // servers and copies are spread over so many; 0 = 1
 	late                  float64 // copies are told up to so long after the start
 	restarts              float64 // part of the copies that start anew within the ramp
 	herds                 int     // so many times all copies start anew almost at once
@@ -76,6 +77,9 @@
 
 func (f *fleet) list(withCold bool) []ServerEntry {
 	entries := ids(f.servers)
+	for i := range entries {
+		entries[i].Zone = uint8(i % max(f.zones, 1))
+	}
 	for i := range entries[:f.leave] {
 		if f.now >= leaveAt {
 			entries[i].State = Draining
@@ -93,7 +97,7 @@
 func (f *fleet) boot(t *testing.T, i int) {
 	t.Helper()
 	set := plain()
-	set.Copies, set.Rank = f.copies, i
+	set.Copies, set.Rank, set.Zone = f.copies, i, i%max(f.zones, 1)
 	set.Classes = []Class{{Aim: 2000, GiveUp: 3000, Worth: 1}}
 	set.Safety.ColdFrom, set.Safety.Ramp, set.Safety.FallAfter = coldFirst, coldRamp, coldFall
 	b, err := New(set, f.rng.Uint64(), f.now)
@@ -270,6 +274,7 @@
 		{name: "uneven", cold: 1, heavy: 6},
 		{name: "half of the tier", cold: 10, heavy: 6},
 		{name: "told late", cold: 4, late: 5000},
+		{name: "three zones", cold: 6, zones: 3},
 		{name: "restarts", cold: 4, heavy: 6, restarts: 1},
 		{name: "restarts at once", cold: 4, herds: 2},
 		{name: "burst", cold: 4, burst: 2.5},
