Play an experiment on a hollow fleet of real modules in virtual time

Change: internal/fleet plays an experiment with the real module in each hollow sidecar and stand-ins for endpoints, clients, discovery and the network. internal/experiment's Result gets Rules, Control.Unspread and Second.Late.

--- a/internal/experiment/result.go
+++ b/internal/experiment/result.go
@@ -17,9 +17,20 @@
 	Services  []ServiceResult    `json:"services"`
 	Control   Control            `json:"control"`
 	Faults    []FaultResult      `json:"faults"`
+	Rules     Rules              `json:"rules"`
 	Series    []Second           `json:"series"` // one a second of measured time
 }
 
+// Rules counts what must not happen, over the whole run.
+type Rules struct {
+	ColdFalls     int64 // cold endpoints that fell
+	DrainingSends int64 // sends past the grace to endpoints that the sidecar was told to drain or be gone
+	UnsafeRepeats int64 // runs of an unsafe call after its first
+	NoAnswer      int64 // calls that were never answered
+	TwoAnswers    int64 // answers of the module to calls that had ended
+	Backstops     int64 // calls that the sidecar had to answer, as the module had not in time
+}
+
 // Calls sums up calls over a scope.
 type Calls struct {
 	Asked, Served, InTime, Refused, Failed, Late int64
@@ -45,6 +56,7 @@
 	SidecarBytesPerSecond, DiscoveryBytesPerSecond float64
 	ModuleMicrosPerCall, ModuleMicrosPerList       float64 // processor time of the real module, as measured in this run
 	SpreadP50, SpreadP99, SpreadMax                float64 // ms from a change to its being in force everywhere
+	Unspread                                       int64   // changes not in force everywhere at the end of the run
 	ToldMax                                        float64 // ms from discovery's return to the last copy's being answered
 }
 
@@ -54,14 +66,15 @@
 	At        float64 `json:"at_ms"`
 	Lost      int64   `json:"lost"`         // calls refused, failed or late between its start and recovery
 	Recovered float64 `json:"recovered_ms"` // from its end until a second is served as before; -1 = not in this run
-	ListCalls int64   `json:"list_calls"`   // that discovery saw between its start and recovery
+	ListCalls int64   `json:"list_calls"`   // that discovery saw from its start until recovery and until all were answered
 	ToldMax   float64 `json:"told_max_ms"`  // from its end until the last sidecar had been answered
 }
 
 // Second is one second of the run.
 type Second struct {
 	At                              float64 `json:"at_s"`
-	Asked, Served, Refused, Failed  int64
+	Asked, Served, Refused, Failed  int64   // of the clients' calls that came in this second
+	Late                            int64
 	ListCalls, Changes, Connections int64
 }
 
--- /dev/null
+++ b/internal/fleet/full_test.go
@@ -0,0 +1,90 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"forkline/internal/experiment"
+)
+
+// full is the whole size: 98 services in 24 tiers, 2,800 hollow sidecars, 4 regions with 11 zones. Two services take
+// their clients' calls in full, the rest are thinned.
+func full() *experiment.Experiment {
+	e := small()
+	e.Name = "full"
+	e.Regions = []experiment.Region{{Name: "a", Zones: 3, Racks: 8}, {Name: "b", Zones: 3, Racks: 8},
+		{Name: "c", Zones: 3, Racks: 8}, {Name: "d", Zones: 2, Racks: 8}}
+	e.Network.Regions = dur(5 * time.Millisecond)
+	e.Discovery.Instances = 4
+	e.Classes = nil
+	for _, c := range small().Classes {
+		c.Aim, c.GiveUp = dur(2*time.Second), dur(5*time.Second)
+		e.Classes = append(e.Classes, c)
+	}
+	e.Services = nil
+	for i := range 98 {
+		// Four services in each tier, two in the last ones; each calls one or two of the next tier.
+		tier, place := i/4, i%4
+		if i >= 92 {
+			tier, place = 23, i-92
+		}
+		s := experiment.Service{Name: fmt.Sprintf("s%02d", i), Endpoints: 26, Cores: 4, Work: dur(5 * time.Millisecond),
+			Slots: 128, Thin: 0.05}
+		if tier < 23 {
+			next := 4 * (tier + 1)
+			s.Calls = []experiment.Call{{To: fmt.Sprintf("s%02d", next+place), Times: 0.9}}
+			if tier%4 == 0 {
+				s.Calls = append(s.Calls, experiment.Call{To: fmt.Sprintf("s%02d", next+(place+1)%4), Times: 0.1})
+			}
+		}
+		if tier == 0 {
+			s.Front, s.Rate = 100, 2000
+		}
+		e.Services = append(e.Services, s)
+	}
+	e.Services[0].Thin, e.Services[1].Thin = 1, 1 // in full
+	for i := range e.Services {                   // 2,800 sidecars: 400 at the front, 92 services with callers
+		if i < 8 {
+			e.Services[i].Endpoints = 27
+		}
+	}
+	return e
+}
+
+func TestFullSizeForAMoment(t *testing.T) {
+	if testing.Short() {
+		t.Skip("2,800 hollow sidecars")
+	}
+	e := full()
+	e.Warmup, e.Duration = dur(4*time.Second), dur(time.Second)
+	r := run(t, e)
+	r.Series, r.Services, r.Thinned = nil, nil, nil
+	show(t, r)
+	if r.Processes != 2800 {
+		t.Errorf("%d hollow sidecars", r.Processes)
+	}
+	if c := r.Calls; float64(c.Served) < 0.98*float64(c.Asked) {
+		t.Errorf("%d of %d calls served", c.Served, c.Asked)
+	}
+}
+
+// BenchmarkFullSize plays a minute at the whole size, with the loss of a zone and an outage of discovery.
+func BenchmarkFullSize(b *testing.B) {
+	for b.Loop() {
+		e := full()
+		e.Duration = dur(60 * time.Second)
+		e.Faults = []experiment.Fault{
+			{Kind: "zone", At: dur(10 * time.Second), For: dur(8 * time.Second), Target: "1/1"},
+			{Kind: "down", At: dur(30 * time.Second), For: dur(8 * time.Second)},
+			{Kind: "restart", At: dur(42 * time.Second), For: dur(10 * time.Second), Count: 280},
+		}
+		r := run(b, e)
+		r.Series, r.Services, r.Thinned = nil, nil, nil
+		show(b, r)
+		b.ReportMetric(r.HeapMB, "heap-MB")
+		b.ReportMetric(r.PerKB, "KB/sidecar")
+		b.ReportMetric(r.Control.ModuleMicrosPerCall, "module-µs/call")
+		b.ReportMetric(r.Control.ModuleMicrosPerList, "module-µs/list")
+	}
+}
--- /dev/null
+++ b/internal/fleet/run.go
@@ -0,0 +1,256 @@
+// Package fleet plays an experiment on a hollow fleet: the project's own model of what it serves. Time is virtual, all
+// random numbers come from the experiment's seed, and everything happens in one goroutine: the same experiment gives the
+// same result. A hollow sidecar is the real decision module (package forkline) with the real discovery policy; sockets,
+// endpoints, clients, discovery and the network are stand-ins.
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"runtime/debug"
+	"time"
+	"unsafe"
+
+	"forkline"
+	"forkline/internal/experiment"
+)
+
+const (
+	lookEvery  = 4096        // events between looks at the real time
+	stuckAfter = 1 << 24     // events at one instant: far more than calls that are open
+	settleTime = time.Second // after the last call's time, in which the rest is answered
+)
+
+// fleet is one run.
+type fleet struct {
+	clock
+	exp       *experiment.Experiment
+	classes   []forkline.Class
+	shares    float64 // sum of the classes'
+	services  []service
+	endpoints []endpoint
+	processes []process
+	tiers     []tier
+	net       network
+	racks     []int // by zone
+	zoneFrom  []int // first zone of each region
+	disco     discovery
+	faults    []fault
+	ends      []faultEnd
+
+	splitUntil   []int64 // by region: when the last split ended
+	calls        []call
+	freeCalls    []int32
+	dropped      []int32 // forgotten during this event
+	attempts     []attempt
+	freeAttempts []int32
+	event        forkline.Event // handed to modules, used again
+	actions      []forkline.Action
+	watchActs    []watchAction
+
+	from, end, stop     int64 // measured time, and when the run ends
+	total               callStats
+	seconds             []experiment.Second
+	control             control
+	meter               meter
+	rules               experiment.Rules
+	heapMost, heapBuilt int64
+	err                 error
+}
+
+// Run plays an experiment. It ends soon after ctx does, with ctx's error.
+func Run(ctx context.Context, e *experiment.Experiment, progress experiment.Progress) (*experiment.Result, error) {
+	began, before := time.Now(), heapLive()
+	f, err := newFleet(e)
+	if err != nil {
+		return nil, err
+	}
+	f.heapMost = heap()
+	f.heapBuilt = heapLive() - before
+	if err := f.play(ctx, progress); err != nil {
+		return nil, err
+	}
+	return f.result(began), nil
+}
+
+func newFleet(e *experiment.Experiment) (*fleet, error) {
+	f := &fleet{exp: e, shares: sumShares(e.Classes)}
+	var err error
+	if f.classes, err = moduleClasses(e.Classes); err != nil {
+		return nil, err
+	}
+	if f.services, err = plan(e); err != nil {
+		return nil, err
+	}
+	if e.Duration <= 0 || e.Warmup < 0 {
+		return nil, fmt.Errorf("%w: its duration is %v after %v", errShape, time.Duration(e.Duration),
+			time.Duration(e.Warmup))
+	}
+	longest := time.Duration(0)
+	for _, c := range e.Classes {
+		longest = max(longest, time.Duration(c.GiveUp))
+	}
+	f.from = int64(e.Warmup)
+	f.end = f.from + int64(e.Duration)
+	f.stop = f.end + ns(longest+settleTime)
+	f.seconds = make([]experiment.Second, (int64(e.Duration)+1e9-1)/1e9)
+	for i := range f.seconds {
+		f.seconds[i].At = float64(i)
+	}
+	f.splitUntil = make([]int64, len(e.Regions))
+	f.total.init()
+	f.control.init()
+	if err := f.build(); err != nil {
+		return nil, err
+	}
+	if err := f.buildFaults(); err != nil {
+		return nil, err
+	}
+	for i := range f.processes {
+		f.startProcess(int32(i))
+	}
+	for i := range f.services {
+		f.schedule(int32(i))
+	}
+	return f, f.err
+}
+
+// play runs the events up to the end, or until ctx ends.
+func (f *fleet) play(ctx context.Context, progress experiment.Progress) error {
+	told, looked := time.Now(), int64(-1)
+	for n := 1; len(f.heap) > 0 && f.heap[0].at <= f.stop && f.err == nil; n++ {
+		ev := f.next()
+		f.happen(&ev)
+		f.reuse()
+		if n%lookEvery != 0 {
+			continue
+		}
+		if err := ctx.Err(); err != nil {
+			return err
+		}
+		if n%stuckAfter == 0 {
+			if f.now == looked {
+				return fmt.Errorf("fleet: time stands still at %v", time.Duration(f.now))
+			}
+			looked = f.now
+		}
+		if now := time.Now(); now.Sub(told) >= time.Second {
+			told = now
+			f.heapMost = max(f.heapMost, heap())
+			if progress != nil {
+				progress(time.Duration(f.now), time.Duration(f.stop))
+			}
+		}
+	}
+	f.heapMost = max(f.heapMost, heap())
+	if len(f.calls) > mostOpen {
+		return fmt.Errorf("fleet: over %d calls were open at once", mostOpen)
+	}
+	if f.err != nil {
+		return f.err
+	}
+	return ctx.Err()
+}
+
+func (f *fleet) happen(ev *event) {
+	switch ev.kind {
+	case evArrive:
+		f.arrive(ev)
+	case evTimer:
+		if f.tiers[ev.id].gen == ev.gen {
+			f.event = forkline.Event{Kind: forkline.EvTimer, Token: ev.arg}
+			f.handle(ev.id, &f.event)
+		}
+	case evTick:
+		f.tick(ev)
+	case evReach:
+		f.reach(ev)
+	case evWork:
+		f.worked(ev)
+	case evStep:
+		f.stepped(ev)
+	case evAnswer:
+		f.answered(ev)
+	case evExpire:
+		f.expire(ev)
+	case evStop:
+		f.stopWork(ev)
+	case evBackstop:
+		f.backstop(ev)
+	case evAsk:
+		f.askedFor(ev)
+	case evTurn:
+		f.turn(ev)
+	case evTold:
+		f.told(ev)
+	case evDelta:
+		f.delta(ev)
+	case evListEnded:
+		f.listEnded(ev)
+	case evBeat:
+		f.beats(ev.id)
+	case evLearn:
+		f.learn(ev)
+	case evFault:
+		f.beginFault(ev.id)
+	case evFaultEnd:
+		f.endFault(ev.id)
+	case evDrain:
+		f.drain(ev)
+	case evKill:
+		f.kill(ev)
+	case evStart:
+		if f.endpoints[ev.id].gen == ev.gen {
+			f.comeUp(ev.id)
+		}
+	case evChange:
+		f.configure(ev.id)
+	}
+}
+
+// What a module holds, in bytes: see TestEstimate.
+const (
+	perServer  = 900  // each endpoint that it knows
+	perTier    = 6000 // besides
+	perService = 80000
+	perCall    = 600 // open, with its attempts and events
+	perRecent  = 16  // taken in the module's windows
+)
+
+// Estimate is how much memory a run needs, in bytes; 0 if the experiment cannot be played.
+func Estimate(e *experiment.Experiment) (bytes int64) {
+	services, err := plan(e)
+	if err != nil {
+		return 0
+	}
+	longest := 0.0
+	for _, c := range e.Classes {
+		longest = max(longest, seconds(c.GiveUp))
+	}
+	for i := range services {
+		s := &services[i]
+		bytes += perService + int64(s.Endpoints)*int64(unsafe.Sizeof(endpoint{})+200)
+		for _, to := range s.inner {
+			bytes += int64(s.Endpoints) * (perTier + perServer*int64(services[to].Endpoints))
+		}
+		bytes += int64(s.Front) * (perTier + perServer*int64(s.Endpoints))
+		played := s.trueRate * s.share
+		bytes += int64(played * (longest*perCall + 10*perRecent))
+	}
+	seconds := seconds(e.Duration) + seconds(e.Warmup)
+	bytes += int64(seconds) * int64(unsafe.Sizeof(experiment.Second{}))
+	return bytes * 2 // what the collector has not taken back yet
+}
+
+func version() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return ""
+	}
+	for _, s := range info.Settings {
+		if s.Key == "vcs.revision" {
+			return s.Value
+		}
+	}
+	return info.Main.Version
+}
