--- a/internal/experiment/result.go
+++ b/internal/experiment/result.go
@@ -57,7 +57,7 @@
 	ModuleMicrosPerCall, ModuleMicrosPerList       float64 // processor time of the real module, as measured in this run
 	SpreadP50, SpreadP99, SpreadMax                float64 // ms from a change to its being in force everywhere
 	Unspread                                       int64   // changes not in force everywhere at the end of the run
-	ToldMax                                        float64 // ms from discovery's return to the last copy's being answered
+	ToldMax                                        float64 // ms from discovery's return to the last copy's being answered; -1 = not in this run
 }
 
 // FaultResult tells what a fault cost.
@@ -67,7 +67,7 @@
 	Lost      int64   `json:"lost"`         // calls refused, failed or late between its start and recovery
 	Recovered float64 `json:"recovered_ms"` // from its end until a second is served as before; -1 = not in this run
 	ListCalls int64   `json:"list_calls"`   // that discovery saw from its start until recovery and until all were answered
-	ToldMax   float64 `json:"told_max_ms"`  // from its end until the last sidecar had been answered
+	ToldMax   float64 `json:"told_max_ms"`  // from its end until the last sidecar had been answered; -1 = not in this run
 }
 
 // Second is one second of the run.
--- a/internal/fleet/fault.go
+++ b/internal/fleet/fault.go
@@ -48,8 +48,11 @@
 		default:
 			err = fmt.Errorf("%w: its kind is unknown", errShape)
 		}
-		if err != nil || spec.At < 0 || spec.For < 0 || spec.Count < 0 || spec.Factor < 0 {
-			return fmt.Errorf("fault %d, %q: %w", i, spec.Kind, cmpErr(err))
+		if err == nil && (spec.At < 0 || spec.For < 0 || spec.Count < 0 || spec.Kind == "burst" && !(spec.Factor > 0)) {
+			err = fmt.Errorf("%w: its times, count or factor", errShape)
+		}
+		if err != nil {
+			return fmt.Errorf("fault %d, %q: %w", i, spec.Kind, err)
 		}
 		ft.at = f.from + int64(spec.At)
 		ft.until = ft.at + int64(spec.For)
@@ -59,13 +62,6 @@
 	return nil
 }
 
-func cmpErr(err error) error {
-	if err == nil {
-		return fmt.Errorf("%w: a figure is negative", errShape)
-	}
-	return err
-}
-
 // pick draws so many endpoints, of a service or of all, that are up.
 func (f *fleet) pick(ft *fault) []int32 {
 	var from []int32
--- a/internal/fleet/measure.go
+++ b/internal/fleet/measure.go
@@ -271,7 +271,11 @@
 		r.Faults = append(r.Faults, f.faultResult(i))
 		switch f.faults[i].Kind {
 		case "down", "silent", "refusing":
-			r.Control.ToldMax = max(r.Control.ToldMax, r.Faults[i].ToldMax)
+			if told := r.Faults[i].ToldMax; told < 0 || r.Control.ToldMax < 0 {
+				r.Control.ToldMax = -1
+			} else {
+				r.Control.ToldMax = max(r.Control.ToldMax, told)
+			}
 		}
 	}
 	return r
@@ -306,7 +310,7 @@
 // in a hundred more than in the ten seconds before it is not served.
 func (f *fleet) faultResult(i int) experiment.FaultResult {
 	ft := &f.faults[i]
-	r := experiment.FaultResult{Fault: ft.Kind, At: ms(ft.at - f.from), Recovered: -1}
+	r := experiment.FaultResult{Fault: ft.Kind, At: ms(ft.at - f.from), Recovered: -1, ToldMax: -1}
 	if ft.Target != "" {
 		r.Fault += " " + ft.Target
 	}
@@ -333,9 +337,8 @@
 	told := len(f.seconds) // a second in which all have been answered
 	for k := range f.ends {
 		if e := &f.ends[k]; int(e.fault) == i {
-			if r.ToldMax = ms(e.told); e.pending > 0 {
-				r.ToldMax = -1
-			} else {
+			if e.pending == 0 {
+				r.ToldMax = ms(e.told)
 				told = int(math.Ceil(end + float64(e.told)/1e9))
 			}
 		}
--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -237,8 +237,10 @@
 		played := s.trueRate * s.share
 		bytes += int64(played * (longest*perCall + 10*perRecent))
 	}
-	seconds := seconds(e.Duration) + seconds(e.Warmup)
-	bytes += int64(seconds) * int64(unsafe.Sizeof(experiment.Second{}))
+	bytes += int64(seconds(e.Duration)) * int64(unsafe.Sizeof(experiment.Second{}))
+	for _, ft := range e.Faults { // each change stays in its list; a replacement is three of them
+		bytes += int64(ft.Count) * int64(unsafe.Sizeof(change{})+unsafe.Sizeof(learning{})) * int64(max(len(services), 3))
+	}
 	return bytes * 2 // what the collector has not taken back yet
 }
 
