--- a/internal/experiment/result.go
+++ b/internal/experiment/result.go
@@ -23,20 +23,31 @@
 
 // Rules counts what must not happen, over the whole run.
 type Rules struct {
-	ColdFalls     int64 // cold endpoints that fell
-	DrainingSends int64 // sends past the grace to endpoints that the sidecar was told to drain or be gone
-	UnsafeRepeats int64 // runs of an unsafe call after its first
-	NoAnswer      int64 // calls that were never answered
-	TwoAnswers    int64 // answers of the module to calls that had ended
-	Backstops     int64 // calls that the sidecar had to answer, as the module had not in time
+	ColdFalls     int64 `json:"cold_falls"`     // cold endpoints that fell
+	DrainingSends int64 `json:"draining_sends"` // sends past the grace to endpoints that the sidecar was told to drain or be gone
+	UnsafeRepeats int64 `json:"unsafe_repeats"` // runs of an unsafe call after its first
+	NoAnswer      int64 `json:"no_answer"`      // calls that were never answered
+	TwoAnswers    int64 `json:"two_answers"`    // answers of the module to calls that had ended
+	Backstops     int64 `json:"backstops"`      // calls that the sidecar had to answer, as the module had not in time
 }
 
 // Calls sums up calls over a scope.
 type Calls struct {
-	Asked, Served, InTime, Refused, Failed, Late int64
-	Attempts, Connections                        int64
-	P50, P99, P999                               float64 // ms, of served calls
-	AddedP50, AddedP99, AddedP999                float64 // ms that waiting at sidecars added
+	Asked       int64 `json:"asked"`
+	Served      int64 `json:"served"`
+	InTime      int64 `json:"in_time"`
+	Refused     int64 `json:"refused"`
+	Failed      int64 `json:"failed"`
+	Late        int64 `json:"late"`
+	Attempts    int64 `json:"attempts"`
+	Connections int64 `json:"connections"`
+
+	P50       float64 `json:"p50_ms"` // of served calls
+	P99       float64 `json:"p99_ms"`
+	P999      float64 `json:"p999_ms"`
+	AddedP50  float64 `json:"added_p50_ms"` // that waiting at sidecars added
+	AddedP99  float64 `json:"added_p99_ms"`
+	AddedP999 float64 `json:"added_p999_ms"`
 }
 
 // ServiceResult is one service's part.
@@ -49,15 +60,20 @@
 
 // Control is the traffic for control: calls for lists, watches, changes.
 type Control struct {
-	CallsPerSecond, PeakCallsPerSecond             float64 // that discovery saw
-	RefusedCalls                                   int64
-	DiscoveryBusy                                  float64 // share of an instance's time, mean
-	PeakQueue                                      int     // calls waiting for their turn
-	SidecarBytesPerSecond, DiscoveryBytesPerSecond float64
-	ModuleMicrosPerCall, ModuleMicrosPerList       float64 // processor time of the real module, as measured in this run
-	SpreadP50, SpreadP99, SpreadMax                float64 // ms from a change to its being in force everywhere
-	Unspread                                       int64   // changes not in force everywhere at the end of the run
-	ToldMax                                        float64 // ms from discovery's return to the last copy's being answered; -1 = not in this run
+	CallsPerSecond          float64 `json:"calls_per_second"` // that discovery saw
+	PeakCallsPerSecond      float64 `json:"peak_calls_per_second"`
+	RefusedCalls            int64   `json:"refused_calls"`
+	DiscoveryBusy           float64 `json:"discovery_busy"` // share of an instance's time, mean
+	PeakQueue               int     `json:"peak_queue"`     // calls waiting for their turn
+	SidecarBytesPerSecond   float64 `json:"sidecar_bytes_per_second"`
+	DiscoveryBytesPerSecond float64 `json:"discovery_bytes_per_second"`
+	ModuleMicrosPerCall     float64 `json:"module_us_per_call"` // processor time of the real module, as measured in this run
+	ModuleMicrosPerList     float64 `json:"module_us_per_list"`
+	SpreadP50               float64 `json:"spread_p50_ms"` // from a change to its being in force everywhere
+	SpreadP99               float64 `json:"spread_p99_ms"`
+	SpreadMax               float64 `json:"spread_max_ms"`
+	Unspread                int64   `json:"unspread"`    // changes not in force everywhere at the end of the run
+	ToldMax                 float64 `json:"told_max_ms"` // from discovery's return to the last copy's being answered; -1 = not in this run
 }
 
 // FaultResult tells what a fault cost.
@@ -72,10 +88,15 @@
 
 // Second is one second of the run.
 type Second struct {
-	At                              float64 `json:"at_s"`
-	Asked, Served, Refused, Failed  int64   // of the clients' calls that came in this second
-	Late                            int64
-	ListCalls, Changes, Connections int64
+	At          float64 `json:"at_s"`
+	Asked       int64   `json:"asked"` // of the clients' calls that came in this second
+	Served      int64   `json:"served"`
+	Refused     int64   `json:"refused"`
+	Failed      int64   `json:"failed"`
+	Late        int64   `json:"late"`
+	ListCalls   int64   `json:"list_calls"`
+	Changes     int64   `json:"changes"`
+	Connections int64   `json:"connections"`
 }
 
 // Progress is told about once a second of real time; done and of are virtual.
--- a/internal/sidecar/front.go
+++ b/internal/sidecar/front.go
@@ -7,6 +7,7 @@
 	"math"
 	"net"
 	"net/http"
+	"net/url"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -90,6 +91,7 @@
 			return
 		}
 		if waits {
+			c.SetWriteDeadline(time.Now().Add(writeTime))      // that of the answer before may have passed
 			io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n") // one that fails shows in the body
 		}
 		if k.out.body, err = readBody(c.reader, m.length); err != nil {
@@ -128,6 +130,7 @@
 	if !f.downstream.begins(c) {
 		return answer{}, false
 	}
+	k.left = c.hasLeft
 	f.loop.post(func() { f.loop.take(k) })
 	if c.leaves() {
 		select {
@@ -165,6 +168,7 @@
 	uri, version, _ := strings.Cut(rest, " ")
 	path, _, _ := strings.Cut(strings.TrimPrefix(uri, "/"), "?")
 	first, _, _ := strings.Cut(path, "/")
+	decoded, _ := url.PathUnescape(first) // a name may have characters that a path has in code only
 	if version != "HTTP/1.1" && version != "HTTP/1.0" || !strings.HasPrefix(uri, "/") || hasControl(uri) {
 		return nil, http.StatusBadRequest, "the request line cannot be read"
 	}
@@ -176,7 +180,7 @@
 	}
 	name := h.Get("X-Class")
 	index, ok := f.classes[name]
-	if !ok || first != name {
+	if !ok || first != name && decoded != name {
 		return nil, http.StatusNotFound, "X-Class and the path name no class"
 	}
 	class := &f.set.Classes[index]
