Heed the system's descriptor limit where it is under the settings' one

Cause: with 128 descriptors allowed and 256 told, a crowd of silent clients took every one: the accept loop holds out (it tries again after 5 ms, and quiet connections end after 2.2 s) but takes each that is freed, and the dial to discovery failed with 'too many open files'. At fault: sidecar.New shares out what the settings tell, whatever the system gives.

Not heeded: descriptors that the process inherits.

--- a/cmd/forkline/descriptors_test.go
+++ b/cmd/forkline/descriptors_test.go
@@ -44,9 +44,9 @@
 		"classes":[{"name":"read","aim":5000,"giveUp":20000,"effect":"read_like"}]}`)
 }
 
-// limited runs the program under the limit until the test ends. It returns the process, its address and its
+// limited runs the program until the test ends, told the limit and allowed so many descriptors. It returns the process, its address and its
 // configuration file.
-func limited(t *testing.T, cfg map[string]any) (p *os.Process, addr, path string) {
+func limited(t *testing.T, allowed int, cfg map[string]any) (p *os.Process, addr, path string) {
 	t.Helper()
 	if cfg["seed"], cfg["name"] = "1", "n"; cfg["listen"] == nil {
 		cfg["listen"] = "127.0.0.1:0"
@@ -60,7 +60,7 @@
 	if err := os.WriteFile(path, text, 0o600); err != nil {
 		t.Fatal(err)
 	}
-	cmd := exec.Command("/bin/sh", "-c", fmt.Sprintf("ulimit -n %d && exec %s", limit, build(t)))
+	cmd := exec.Command("/bin/sh", "-c", fmt.Sprintf("ulimit -n %d && exec %s", allowed, build(t)))
 	cmd.Env = append(os.Environ(), "RELAY_CONFIG="+path)
 	stderr, err := cmd.StderrPipe()
 	if err != nil {
@@ -184,8 +184,9 @@
 }
 
 // crowd holds so many connections open until the test ends, each with the first bytes of something, and opens another
-// for each that is ended.
-func crowd(t *testing.T, addr string, many int, first string) {
+// for each that is ended. It counts those.
+func crowd(t *testing.T, addr string, many int, first string) *atomic.Int64 {
+	var ended atomic.Int64
 	ctx, cancel := context.WithCancel(context.Background())
 	var all sync.WaitGroup
 	t.Cleanup(func() { cancel(); all.Wait() })
@@ -198,12 +199,14 @@
 					io.Copy(io.Discard, c)
 					stop()
 					c.Close()
+					ended.Add(1)
 				} else {
 					time.Sleep(time.Millisecond) // spares the processor while nobody listens
 				}
 			}
 		})
 	}
+	return &ended
 }
 
 // request sends one on a new connection and tells the status of the answer; 0 if there is none.
@@ -257,7 +260,7 @@
 					}
 					return ""
 				})
-				p, addr, _ := limited(t, map[string]any{
+				p, addr, _ := limited(t, limit, map[string]any{
 					"discovery": disc.addr, "known": json.RawMessage(listOf(1, old.addr)), "settings": settingsOf(mode),
 				})
 				eventually(t, "readiness", func() bool { return request(addr, "/-/ready") == 200 })
@@ -288,6 +291,29 @@
 	}
 }
 
+// The system allows fewer descriptors than the settings tell: a crowd does not take those that discovery needs.
+func TestFewerDescriptorsThanTold(t *testing.T) {
+	for _, mode := range []string{"push", "on_request"} {
+		t.Run(mode, func(t *testing.T) {
+			old, added := endpoint(t, 0), endpoint(t, 0)
+			disc, watches := follower(t, func() string { return listOf(2, added.addr) })
+			disc.goes()
+			_, addr, _ := limited(t, limit/2, map[string]any{
+				"discovery": disc.addr, "known": json.RawMessage(listOf(1, old.addr)), "settings": settingsOf(mode),
+			})
+			eventually(t, "readiness", func() bool { return request(addr, "/-/ready") == 200 })
+			ended := crowd(t, addr, limit, "")
+			eventually(t, "no room for the crowd", func() bool { return ended.Load() > limit })
+			disc.returns()
+			eventually(t, "a watch", func() bool { return watches.Load() > 0 })
+			old.goes()
+			id := 0
+			eventually(t, "a request served by the new list", func() bool { id++; return read(addr, id) == 200 })
+			eventually(t, "readiness in the crowd", func() bool { return request(addr, "/-/ready") == 200 })
+		})
+	}
+}
+
 // A crowd is there before the process is, and discovery is not: it gets ready all the same, and serves.
 func TestReadyInACrowdFromTheStart(t *testing.T) {
 	for _, mode := range []string{"push", "on_request"} {
@@ -301,7 +327,7 @@
 				}
 				ln.Close()
 				crowd(t, ln.Addr().String(), limit, first)
-				p, addr, _ := limited(t, map[string]any{
+				p, addr, _ := limited(t, limit, map[string]any{
 					"discovery": disc.addr, "known": json.RawMessage(listOf(1, endpoint(t, 0).addr)),
 					"settings": settingsOf(mode), "listen": ln.Addr().String(),
 				})
@@ -337,7 +363,7 @@
 	disc, _ := follower(t, func() string { return listOf(1, addrs...) })
 	silent := func() string { return newStandIn(t, func(c net.Conn) { io.Copy(io.Discard, c) }).addr }
 	moves := []string{silent(), silent()}
-	p, addr, path := limited(t, map[string]any{
+	p, addr, path := limited(t, limit, map[string]any{
 		"discovery": disc.addr, "known": json.RawMessage(listOf(1, addrs...)), "settings": settingsOf(mode),
 	})
 	seen := most(t, p)
--- a/cmd/forkline/main.go
+++ b/cmd/forkline/main.go
@@ -37,6 +37,7 @@
 	debug.SetMemoryLimit(int64(memoryPart * float64(cfg.MemoryMB) * (1 << 20)))
 	slog.SetDefault(slog.With("name", cfg.Name))
 
+	cfg.Sockets = allowed(cfg.Sockets)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	s, err := sidecar.New(cfg)
@@ -51,6 +52,17 @@
 	return s.Run(ctx)
 }
 
+// allowed is how many of the descriptors that the settings tell the system gives: were more used, clients would take
+// those that are kept for discovery.
+func allowed(sockets int) int {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil || limit.Cur >= uint64(sockets) {
+		return sockets
+	}
+	slog.Warn("fewer descriptors than the settings tell", "limit", limit.Cur, "sockets", sockets)
+	return max(int(limit.Cur), sidecar.LeastSockets)
+}
+
 // reload reads the configuration anew for where discovery is now; the rest counts from the next start on.
 // A file that cannot be used changes nothing.
 func reload(s *sidecar.Sidecar) {
