Give the request that TestDrain holds time to outlast the drain's closes

TestDrain failed once in three on a busy machine: 502 for what was taken before. The held request's own time ended 2.45 s after it came, and quiet connections are closed 2.35 s after the signal, so the test had under 0.1 s to go from one to the other.

--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -330,13 +330,15 @@
 // end, what was taken is finished, and only then does the program end.
 func TestDrain(t *testing.T) {
 	came, release := make(chan struct{}), make(chan struct{})
-	s, err := New(config(t, script(t, func(n int, c net.Conn, r *http.Request) bool {
+	cfg := config(t, script(t, func(n int, c net.Conn, r *http.Request) bool {
 		if r.Header.Get("X-Hold") != "" {
 			close(came)
 			<-release
 		}
 		return echo(n, c, r)
-	}).Addr().String()))
+	}).Addr().String())
+	cfg.Site.Settings.Classes[0].GiveUp = 5000 // what is held must not end by its own time
+	s, err := New(cfg)
 	if err != nil {
 		t.Fatal(err)
 	}
