Count sends to endpoints that are gone, and what counts as told without having come

Cause: the count of sends to draining endpoints knew only what a sidecar had heard. The rule also holds it to what discovery has known for 6 s and could have told, and to endpoints that are gone or replaced.

--- a/internal/fleet/discovery.go
+++ b/internal/fleet/discovery.go
@@ -411,8 +411,13 @@
 	s := &f.services[l.service]
 	f.control.changed(f)
 	e, current := f.find(l.entry.Server)
-	if current && l.entry.State == forkline.Draining {
-		f.endpoints[e].knownAt = f.now
+	if ep := &f.endpoints[e]; current && !l.config {
+		switch {
+		case l.entry.State == forkline.Ready:
+			ep.knownAt = 0
+		case ep.knownAt == 0:
+			ep.knownAt = f.now
+		}
 	}
 	c := l.change
 	if l.config {
--- a/internal/fleet/endpoint.go
+++ b/internal/fleet/endpoint.go
@@ -23,7 +23,8 @@
 	down     int   // faults that hold it down
 	started  int64 // -1 = before the run
 	drainAt  int64
-	knownAt  int64 // when discovery knew of the drain
+	knownAt  int64 // when discovery knew that it drains, or is gone; 0 = it does not
+	oldKnown int64 // and that its predecessor did
 	work     []work
 	held     []int32 // attempts that hold a slot
 	progress float64 // seconds of work that each has been given
--- a/internal/fleet/fault.go
+++ b/internal/fleet/fault.go
@@ -199,7 +199,7 @@
 	if !e.up || e.draining || e.gen != ev.gen {
 		return
 	}
-	e.draining, e.drainAt, e.knownAt = true, f.now, 0
+	e.draining, e.drainAt = true, f.now
 	f.note(ev.id, forkline.Draining)
 	longest := time.Duration(0)
 	for _, c := range f.exp.Classes {
@@ -216,6 +216,7 @@
 	f.note(ev.id, forkline.Gone)
 	f.goDown(ev.id, false)
 	e.gen++
+	e.knownAt, e.oldKnown = 0, e.knownAt
 	f.at(f.now+ns(startTime), evStart, ev.id, e.gen, 0)
 }
 
--- a/internal/fleet/process.go
+++ b/internal/fleet/process.go
@@ -214,7 +214,7 @@
 	target, current := f.find(action.Server)
 	e := &f.endpoints[target]
 	k := &tr.conns[target-s.first]
-	f.checkDrain(tr, p, e, k, current)
+	f.checkDrain(tr, p, e, k, action.Server)
 
 	n := int32(len(f.attempts))
 	if free := len(f.freeAttempts); free > 0 {
@@ -262,16 +262,24 @@
 	}
 }
 
-// checkDrain counts a send to an endpoint that drains or is gone, past the grace since its sidecar was told.
-func (f *fleet) checkDrain(tr *tier, p *process, e *endpoint, k *conn, current bool) {
-	told := k.toldAt
-	if e.draining && current && e.knownAt > 0 {
-		reached := max(e.knownAt, f.disco.reachedFrom, f.splitUntil[p.region], tr.started) + ns(deemedTold)
-		if told == 0 || reached < told {
-			told = reached
+// checkDrain counts a send to an endpoint that drains or is gone, past the grace since its sidecar was told. What
+// discovery knows counts as told some seconds after it could be reached, whether or not it came.
+func (f *fleet) checkDrain(tr *tier, p *process, e *endpoint, k *conn, server uint32) {
+	told, known := k.toldAt, int64(0)
+	switch uint32(e.gen) - server/uint32(len(f.endpoints)) {
+	case 0:
+		known = e.knownAt
+	case 1:
+		known, told = e.oldKnown, 0 // what it was told later is of the successor
+	}
+	if known > 0 {
+		deemed := max(known, f.disco.reachedFrom, f.splitUntil[p.region], tr.started) + ns(deemedTold)
+		if told == 0 || deemed < told {
+			told = deemed
 		}
 	}
-	if told > 0 && f.now > told+int64(f.exp.Sidecar.DrainGrace)+ns(answerSlack) {
+	reached := f.disco.speaks() && f.disco.refusing == 0 && f.net.split[p.region] == 0
+	if told > 0 && (reached || told == k.toldAt) && f.now > told+int64(f.exp.Sidecar.DrainGrace)+ns(answerSlack) {
 		f.rules.DrainingSends++
 	}
 }
--- a/internal/fleet/stand_in_test.go
+++ b/internal/fleet/stand_in_test.go
@@ -91,6 +91,20 @@
 	if f.rules.DrainingSends != 1 {
 		t.Errorf("a send past the grace: %+v", f.rules)
 	}
+
+	// Discovery knew of the drain at 11.3 s. It has been replaced since; what was not told counts as told at 17.3 s.
+	for at, breaks := range []int64{1, 2} {
+		f.until(17800*time.Millisecond + time.Duration(at)*time.Second)
+		if f.endpoints[drained].gen != 1 {
+			t.Fatalf("generation %d", f.endpoints[drained].gen)
+		}
+		c = take(0)
+		again.Request = f.requestID(c)
+		f.send(front, again)
+		if f.rules.DrainingSends != breaks {
+			t.Errorf("%d s after: %+v", at, f.rules)
+		}
+	}
 }
 
 func TestColdEndpointsFallWhereTheSettingsAllowLittle(t *testing.T) {
