--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -1,7 +1,32 @@
 // Package fleet plays an experiment on a hollow fleet: the project's own model of what it serves. Time is virtual, all
 // random numbers come from the experiment's seed, and everything happens in one goroutine: the same experiment gives the
-// same result. A hollow sidecar is the real decision module (package forkline) with the real discovery policy; sockets,
-// endpoints, clients, discovery and the network are stand-ins.
+// same result, but for what the machine measured (real time, heap, the module's processor time).
+//
+// # What is real, and what stands in
+//
+// A hollow sidecar is the real decision module (package forkline), one instance for each service that it balances for,
+// with the discovery policy that says when a call is made and a watch is dead. Each instance has a watch of its own, as
+// discovery lists the endpoints of one service. The rest stands in:
+//
+//   - Endpoints share their cores evenly among their requests, whose work is exponential. They do it first and then make
+//     their calls one after another through the sidecar beside them; an inner call is a call like any other. Cold ones
+//     start with a part of their capacity, and fall if they get more than the settings allow.
+//   - Clients call at random (Poisson), whether or not they are served, and do not come again.
+//   - Discovery handles calls in turn, each for a time, and writes each change on its watches one after another. A new
+//     process gets the whole list first, then changes. An instance in a region that is cut off stays as it was.
+//   - The network delays messages by where they go, and loses some, which come later; what is sent into a split is lost.
+//     A connection that is opened takes two more one-way delays. Beats take no time.
+//
+// Control traffic is played in full. A service may be thinned: of its calls only a share is played, the others take
+// their mean of its endpoints' cores, so they wait in no queue. Its sidecars see fewer calls, and so learn later.
+//
+// # Unit of work, and memory
+//
+// The unit of work is one event. A call through one sidecar is about ten: it comes, it is sent, reaches its endpoint,
+// is worked on, is answered, and the timers that guard it. BenchmarkFullSize (2,800 hollow sidecars, 98 services, 11
+// zones, two services in full and the others at a twentieth, 70 s of virtual time with a lost zone, an outage of discovery
+// and a restart wave) took 7.0 s of one core, 32 KB for each sidecar before the first call, and 141 MB of heap at most.
+// A module holds some 800 bytes for each endpoint that it knows; Estimate counts with that.
 package fleet
 
 import (
