--- a/balancer.go
+++ b/balancer.go
@@ -59,7 +59,8 @@
 	wakeMost        = 20.0    // longest timer while calls wait
 	comeBack        = 1000.0  // a refused client is asked back then: answers have been measured anew
 	askSpread       = 0.3     // first call to the list is spread over this share of AskEvery
-	askBackoff      = 1000.0  // first wait after a failed call to the list; doubles, with jitter
+	askSoon         = 1000.0  // round of calls for the list, by all copies, once a watch broke or moved
+	askRound        = 4000.0  // and after that: of the 6 s till changes are told, 2 are left for an answer
 )
 
 // sample is one outcome at a server: latency as a ratio to its class's threshold.
@@ -163,6 +164,7 @@
 	turn                      float64   // time a call takes for each call its server held, where probes tell
 	probing                   bool
 	zoneServers               []*server // of the own zone, in the order in which all copies deal them out
+	zones                     int       // in which there are servers
 	requests                  map[uint32]*request
 	queue, spare              []*request
 	sweepAt                   float64 // when the first waiting call is to be given up
@@ -193,7 +195,7 @@
 	wakeAt                    float64 // when the pending timer is due; 0 = none
 	timer                     uint64  // its number
 	askAt                     float64 // when the list is to be asked; 0 = not
-	backoff                   float64
+	askRounds                 float64 // length of the copies' next round of calls
 }
 
 // New returns a balancer for one copy. The seed makes its random numbers.
@@ -225,7 +227,7 @@
 		b.tenants = append(b.tenants, bucket{tokens: most, at: now, rate: rate, most: most})
 	}
 	if set.ListOnRequest {
-		b.backoff = askBackoff
+		b.askRounds = askSoon
 		b.askAt = now + b.random()*askSpread*set.Safety.AskEvery
 	}
 	b.leastFrom = now + 2*b.silence
@@ -487,8 +489,8 @@
 			rank += 1000 - 10*(s.held+s.run) // each failure in a run weighs like a call held
 		} else if b.overdue(s) {
 			rank -= 40
-		} else if s.subsetShare > 0 && b.subsetTakes(s) || s.cold && b.coldTakes(s) {
-			rank += 40
+		} else if s.subsetShare > 0 && b.subsetTakes(s) || s.cold && s.run < 1 && b.quick(s) {
+			rank += 40 // what a cold one may get is little, and lost if not used
 		} else if own := int(s.Zone) == b.set.Zone; own && b.linked(s) {
 			rank += 30 // connections cost both ends and are few: open another only at need
 		} else if b.linked(s) {
@@ -526,11 +528,6 @@
 	return s.run <= runLimit && float64(s.out) < subsetHeld*s.subsetShare/(1+s.run) && b.quick(s)
 }
 
-// coldTakes tells whether a cold server with credit goes before others: its part is small, and soon lost.
-func (b *Balancer) coldTakes(s *server) bool {
-	return int(s.Zone) == b.set.Zone && s.run < 1 && b.quick(s)
-}
-
 // quick holds for a server as fast as the tier; for a slower one by chance.
 func (b *Balancer) quick(s *server) bool {
 	own, tier := s.meanLatency, b.tierLatency
@@ -906,7 +903,12 @@
 		if age < b.set.Safety.Ramp {
 			from, share := b.set.Safety.ColdFrom, b.arrivals.rate/float64(max(len(b.live), 1))
 			weight := s.ramp.weight(b.set.Copies, max(len(b.live), 1), b.warm)
-			most := weight * coldPart * share * (from + (1-from)*max(age, 0)/b.set.Safety.Ramp)
+			if len(b.zoneServers) > 0 && int(s.Zone) != b.set.Zone {
+				weight = 0
+			} else if len(b.zoneServers) > 0 {
+				weight *= float64(b.zones) // for the copies of other zones
+			}
+			most := weight * coldPart * share * (from + (1-from)*max(age, 0)/max(b.set.Safety.Ramp, 1))
 			if !s.measured && b.measured == 0 { // all cold at the start: nothing was sent, nor ever would be
 				return most
 			} else if !s.measured {
@@ -1021,11 +1023,9 @@
 }
 
 // recount renews what depends on the servers that serve: the mean load of the measured ones, and the
-// concurrency limit. It follows them both ways: those left hold no more than they did, and one that comes
-// or is taken back gets as much as each of them, less while cold. Taking alone would add up: servers
-// replaced one by one, a zone that flaps or a late list would leave none for idle servers. With the limit
-// for all, those left after ejections are driven over. It does harm where an ejection is wrong, or the list
-// names servers that cannot serve: their share jams the rest till the next revision.
+// concurrency limit. It follows them both ways, less for cold ones. Taking alone would add up: servers
+// replaced one by one would leave none for idle servers. With the limit for all, those left after ejections
+// are driven over. It does harm where an ejection is wrong, or the list names servers that cannot serve.
 func (b *Balancer) recount() {
 	sum, n, ejected, serving := 0.0, 0, 0, 0.0
 	b.out, b.warm = 0, 0
@@ -1067,14 +1067,18 @@
 // --- The list of servers.
 
 func (b *Balancer) list(ev *Event) {
-	if ev.List == ListFailed {
-		if b.set.ListOnRequest && b.askAt == 0 {
-			b.askAt = b.now + b.backoff*(0.5+b.random())
-			b.backoff = min(2*b.backoff, max(askBackoff, b.set.Safety.AskEvery))
+	if ev.List != ListFailed { // it could be reached, or is elsewhere
+		b.askRounds = askSoon
+	}
+	if ev.List == ListFailed || ev.List == ListMoved {
+		if at := b.nextTurn(); b.set.ListOnRequest && (b.askAt == 0 || at < b.askAt) {
+			b.askAt = at
+		}
+		if ev.List == ListFailed {
+			b.askRounds = askRound
 		}
 		return
 	}
-	b.backoff = askBackoff
 	if ev.List != ListDelta {
 		for _, s := range b.byID {
 			s.listed = false
@@ -1099,6 +1103,15 @@
 	b.assignSubset()
 }
 
+// nextTurn is this copy's next turn to ask for the list. By rank every copy has one in each round: it asks
+// as often while discovery is away as at its return, evenly with the others, and tiers in between. A clock
+// that is off moves turns but not their rate. They are whole, so that sums are exact.
+func (b *Balancer) nextTurn() float64 {
+	place := float64(b.set.Rank) + float64(b.set.Stage)/float64(b.set.Stages)
+	turn := math.Floor(askRound * math.Mod(place/float64(b.set.Copies), 1))
+	return b.now + b.askRounds - math.Mod(b.now+askRound-turn, b.askRounds)
+}
+
 // closeIdle closes the idle connections to a server that drains: on the notice, after each outcome and probe
 // there, and once more later, for one that was still being opened. A quiet copy would hold the drain up.
 func (b *Balancer) closeIdle(s *server) {
@@ -1130,9 +1143,13 @@
 // assignSubset deals the zone's servers out over the copies: an even stretch each of one order that all know.
 // A copy sees only its own calls, so without this each server is loaded by chance.
 func (b *Balancer) assignSubset() {
-	zones := 1
-	b.zoneServers = b.zoneServers[:0]
+	zones, seen := 1, [256]bool{}
+	b.zoneServers, b.zones = b.zoneServers[:0], 0
 	for _, s := range b.live {
+		if !seen[s.Zone] {
+			seen[s.Zone] = true
+			b.zones++
+		}
 		s.subsetShare = 0
 		zones = max(zones, int(s.Zone)+1)
 		if int(s.Zone) == b.set.Zone {
