Let the hollow fleet follow lists by the real discovery policy

Cause: internal/fleet followed lists by a stand-in of its own, as the policy was tied to sockets. It is a package now.

The modules' ranks are whole numbers below their count, zone by zone in turn, as turns by rank need. TestFaultsAreGotOver wants all sidecars answered within 6 s of discovery's return, which is the standing rule (before: 8 and 12 s, the stand-in's figures), and plays 25 s in place of 40.

--- a/internal/fleet/discovery.go
+++ b/internal/fleet/discovery.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"forkline"
+	"forkline/internal/listwatch"
 )
 
 // Sizes of what goes to and from discovery, in bytes; lists have their entries besides.
@@ -16,9 +17,9 @@
 	beat         = 2 * time.Second
 )
 
-// watch is a tier's watch on its list: the policy's state at the sidecar, and what discovery writes on.
+// watch is a tier's watch on its list: the sidecar's discovery policy, and what discovery writes on.
 type watch struct {
-	policy   *watcher
+	watcher  *listwatch.Watcher
 	started  int64
 	tickAt   int64 // of the pending evTick; 0 = none
 	instance int32 // of discovery, or of its agents
@@ -107,6 +108,13 @@
 
 func (f *fleet) pushed() bool { return f.exp.Discovery.Pushed }
 
+func (f *fleet) policy() listwatch.Policy {
+	if f.pushed() {
+		return listwatch.Pushed
+	}
+	return listwatch.Asked
+}
+
 // speaks tells whether discovery answers and writes at all.
 func (d *discovery) speaks() bool { return d.down == 0 && d.silent == 0 }
 
@@ -117,13 +125,13 @@
 	p := &f.processes[tr.process]
 	known := tr.version
 	tr.watch = watch{
-		policy: newWatcher(f.pushed(), p.float), started: f.now, instance: tr.instance, version: known,
+		watcher: listwatch.NewWatcher(f.policy(), p.float), started: f.now, instance: tr.instance, version: known,
 		born: int32(len(s.log)), whole: true, heardOf: int32(len(f.ends)),
 	}
 	f.event = forkline.Event{Kind: forkline.EvList, List: forkline.ListCached, Servers: f.listAt(s, known)}
 	f.handle(t, &f.event)
 	if f.pushed() {
-		f.follow(t, watchEvent{kind: wFollow})
+		f.follow(t, listwatch.Event{Kind: listwatch.EvFollow})
 	}
 }
 
@@ -161,34 +169,34 @@
 // ask is the module's wish to have its list watched.
 func (f *fleet) ask(t int32) {
 	if !f.pushed() {
-		f.follow(t, watchEvent{kind: wAsk})
+		f.follow(t, listwatch.Event{Kind: listwatch.EvAsk})
 	}
 }
 
 // follow gives the discovery policy an event and carries its actions out.
-func (f *fleet) follow(t int32, ev watchEvent) {
+func (f *fleet) follow(t int32, ev listwatch.Event) {
 	tr := &f.tiers[t]
 	if tr.balancer == nil {
 		return
 	}
 	acts := f.watchActs
 	f.watchActs = nil // an action may lead back here
-	acts = tr.policy.Handle(time.Duration(f.now), ev, acts[:0])
+	acts = tr.watcher.Handle(time.Duration(f.now), ev, acts[:0])
 	for _, a := range acts {
-		switch a.kind {
-		case actCall:
-			f.callDiscovery(t, a.call)
-		case actDrop:
-			if tr.writes == a.call {
+		switch a.Kind {
+		case listwatch.ActCall:
+			f.callDiscovery(t, a.Call)
+		case listwatch.ActDrop:
+			if tr.writes == a.Call {
 				tr.writes = 0
 			}
-		case actFailed:
+		case listwatch.ActFailed:
 			f.event = forkline.Event{Kind: forkline.EvList, List: forkline.ListFailed}
 			f.handle(t, &f.event)
 		}
 	}
 	f.watchActs = acts
-	if at, ok := tr.policy.Next(); ok && (tr.tickAt == 0 || int64(at) < tr.tickAt) {
+	if at, ok := tr.watcher.Next(); ok && (tr.tickAt == 0 || int64(at) < tr.tickAt) {
 		tr.tickAt = int64(at)
 		f.at(tr.tickAt, evTick, t, tr.gen, uint64(at))
 	}
@@ -198,7 +206,7 @@
 	tr := &f.tiers[ev.id]
 	if tr.gen == ev.gen && uint64(tr.tickAt) == ev.arg {
 		tr.tickAt = 0
-		f.follow(ev.id, watchEvent{kind: wTick})
+		f.follow(ev.id, listwatch.Event{Kind: listwatch.EvTick})
 	}
 }
 
@@ -213,7 +221,7 @@
 		return
 	}
 	if !f.net.reaches(p.region, in.region) {
-		f.at(f.now+ns(dialList), evListEnded, t, tr.gen, uint64(call))
+		f.at(f.now+ns(f.policy().Dial), evListEnded, t, tr.gen, uint64(call))
 		return
 	}
 	f.at(f.now+(1+handshake)*f.net.delay(p.place, in.place, &f.disco.source), evAsk, t, tr.gen, uint64(call))
@@ -306,8 +314,8 @@
 		return
 	}
 	call, version := int(ev.arg>>32), int32(uint32(ev.arg))
-	f.follow(ev.id, watchEvent{wAnswered, call})
-	if now := tr.policy.Watching(); now != call {
+	f.follow(ev.id, listwatch.Event{Kind: listwatch.EvAnswered, Call: call})
+	if now := tr.watcher.Watching(); now != call {
 		if tr.writes == call { // it was given up meanwhile: its connection is closed
 			tr.writes = 0
 			if now > tr.deadTo {
@@ -336,11 +344,11 @@
 func (f *fleet) delta(ev *event) {
 	tr := &f.tiers[ev.id]
 	call, version := int(ev.arg>>32), int32(uint32(ev.arg))
-	if tr.gen != ev.gen || tr.policy.Watching() != call {
+	if tr.gen != ev.gen || tr.watcher.Watching() != call {
 		return
 	}
 	f.heard(ev.id)
-	f.follow(ev.id, watchEvent{wAlive, call})
+	f.follow(ev.id, listwatch.Event{Kind: listwatch.EvAlive, Call: call})
 	f.apply(ev.id, version, false)
 }
 
@@ -388,7 +396,7 @@
 // listEnded is a sidecar's hearing that a call failed or that its watch broke.
 func (f *fleet) listEnded(ev *event) {
 	if f.tiers[ev.id].gen == ev.gen {
-		f.follow(ev.id, watchEvent{wEnded, int(ev.arg)})
+		f.follow(ev.id, listwatch.Event{Kind: listwatch.EvEnded, Call: int(ev.arg)})
 	}
 }
 
@@ -481,9 +489,9 @@
 		if !f.pushed() {
 			f.control.both(f, beatBytes)
 		}
-		if tr.policy.Watching() == tr.writes {
+		if tr.watcher.Watching() == tr.writes {
 			f.heard(t)
-			f.follow(t, watchEvent{wAlive, tr.writes})
+			f.follow(t, listwatch.Event{Kind: listwatch.EvAlive, Call: tr.writes})
 		}
 	}
 	f.write(in, in.all)
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -124,11 +124,11 @@
 	for _, c := range []struct {
 		name  string
 		fault experiment.Fault
-		told  float64 // ms; 0 = not looked at
+		told  float64 // ms at most: what discovery knows counts as told then; 0 = not looked at
 	}{
-		{"discovery down", experiment.Fault{Kind: "down", For: dur(5 * time.Second)}, 8000},
-		{"discovery silent", experiment.Fault{Kind: "silent", For: dur(5 * time.Second)}, 12000},
-		{"discovery refusing", experiment.Fault{Kind: "refusing", For: dur(5 * time.Second)}, 0},
+		{"discovery down", experiment.Fault{Kind: "down", For: dur(5 * time.Second)}, 6000},
+		{"discovery silent", experiment.Fault{Kind: "silent", For: dur(5 * time.Second)}, 6000},
+		{"discovery refusing", experiment.Fault{Kind: "refusing", For: dur(5 * time.Second)}, 6000},
 		{"zone", experiment.Fault{Kind: "zone", For: dur(4 * time.Second), Target: "0/1"}, 0},
 		{"rack", experiment.Fault{Kind: "rack", For: dur(4 * time.Second), Target: "0/0/1"}, 0},
 		{"machines", experiment.Fault{Kind: "machine", For: dur(4 * time.Second), Count: 3}, 0},
@@ -140,7 +140,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			for _, pushed := range []bool{false, true} {
 				e := small()
-				e.Duration = dur(40 * time.Second)
+				e.Duration = dur(25 * time.Second)
 				e.Discovery.Pushed = pushed
 				c.fault.At = dur(5 * time.Second)
 				e.Faults = []experiment.Fault{c.fault}
--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -5,7 +5,7 @@
 // # What is real, and what stands in
 //
 // A hollow sidecar is the real decision module (package forkline), one instance for each service that it balances for,
-// with the discovery policy that says when a call is made and a watch is dead. Each instance has a watch of its own, as
+// with the real discovery policy (internal/listwatch), which says when a call is made and a watch is dead. Each instance has a watch of its own, as
 // discovery lists the endpoints of one service. The rest stands in:
 //
 //   - Endpoints share their cores evenly among their requests, whose work is exponential. They do it first and then make
@@ -38,6 +38,7 @@
 
 	"forkline"
 	"forkline/internal/experiment"
+	"forkline/internal/listwatch"
 )
 
 const (
@@ -71,7 +72,7 @@
 	freeAttempts []int32
 	event        forkline.Event // handed to modules, used again
 	actions      []forkline.Action
-	watchActs    []watchAction
+	watchActs    []listwatch.Action
 
 	from, end, stop     int64 // measured time, and when the run ends
 	total               callStats
--- a/internal/fleet/topology.go
+++ b/internal/fleet/topology.go
@@ -1,9 +1,11 @@
 package fleet
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"math"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -135,7 +137,7 @@
 	return services, nil
 }
 
-// settings are those of one module: rank counts within the zones in turn, as the module deals servers out.
+// settings are those of one module.
 func (f *fleet) settings(s *service, front bool, rank int, at place) forkline.Settings {
 	side := &f.exp.Sidecar
 	set := forkline.Settings{
@@ -237,12 +239,17 @@
 	perZone := make([]int, len(zones))
 	for i := range f.services {
 		clear(perZone)
-		for _, t := range f.services[i].tiers {
+		tiers := f.services[i].tiers
+		for _, t := range tiers { // zone by zone in turn, as the module deals servers out; unequal zones shift that
 			at := f.processes[f.tiers[t].process].zone
 			f.tiers[t].rank = int32(perZone[at]*len(zones) + int(at))
 			perZone[at]++
 			f.tiers[t].conns = make([]conn, f.services[i].Endpoints)
 		}
+		slices.SortFunc(tiers, func(a, b int32) int { return cmp.Compare(f.tiers[a].rank, f.tiers[b].rank) })
+		for rank, t := range tiers {
+			f.tiers[t].rank = int32(rank)
+		}
 	}
 	f.buildDiscovery()
 	return nil
