--- a/cmd/fleetlab/main.go
+++ b/cmd/fleetlab/main.go
@@ -18,6 +18,7 @@
 	"github.com/mattn/go-isatty"
 
 	"forkline/internal/experiment"
+	"forkline/internal/fleet"
 )
 
 // The exit codes.
@@ -74,8 +75,8 @@
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	context.AfterFunc(ctx, stop) // a second signal ends the program at once
-	l := lab{stdout: os.Stdout, stderr: os.Stderr, terminal: isatty.IsTerminal(os.Stderr.Fd()), play: play,
-		estimate: estimate, memory: memory, version: version()}
+	l := lab{stdout: os.Stdout, stderr: os.Stderr, terminal: isatty.IsTerminal(os.Stderr.Fd()), play: fleet.Run,
+		estimate: fleet.Estimate, memory: memory, version: version()}
 	os.Exit(l.main(ctx, os.Args[1:]))
 }
 
@@ -197,12 +198,3 @@
 	}
 	return int64(info.Totalram) * int64(info.Unit)
 }
-
-// play and estimate stand in for the fleet until it is here.
-func play(context.Context, *experiment.Experiment, experiment.Progress) (*experiment.Result, error) {
-	return nil, errors.New("this build holds no fleet to play on")
-}
-
-func estimate(e *experiment.Experiment) int64 { return int64(e.Processes()) * perProcess }
-
-const perProcess = 1 << 20 // bytes
