Leave out what two sizes cannot tell of a slope

A line always goes through two points, so that the table of what a sidecar adds showed r² = 1.000 for sizes 29 and 300: a claim with nothing behind it. Tables now leave r² and the exponent of all points out there; JSON tells the sizes.

--- a/internal/slope/slope.go
+++ b/internal/slope/slope.go
@@ -30,6 +30,7 @@
 	LogR2     float64 `json:"log_r2"`    // the same share, of log y
 	End       float64 `json:"end"`       // exponent between the two largest of those sizes
 	LogPoints int     `json:"log_points"`
+	Sizes     int     `json:"sizes"` // different x: through two of them a line always goes, with an r² that tells nothing
 }
 
 // ErrPoints says that there are too few sizes to tell a slope.
@@ -58,6 +59,7 @@
 	if !differ(xs) {
 		return f, ErrPoints
 	}
+	f.Sizes = count(xs)
 	f.Intercept, f.Slope, f.R2 = line(xs, ys)
 	if differ(logXs) {
 		f.LogPoints = len(logXs)
@@ -76,6 +78,14 @@
 	return intercept, slope, stat.RSquared(xs, ys, nil, intercept, slope)
 }
 
+func count(values []float64) int {
+	seen := map[float64]bool{}
+	for _, v := range values {
+		seen[v] = true
+	}
+	return len(seen)
+}
+
 func differ(values []float64) bool {
 	for _, v := range values {
 		if v != values[0] {
@@ -109,7 +119,7 @@
 	return json.Marshal(out)
 }
 
-// Markdown writes one table of all series, a line each.
+// Markdown writes one table of all series, a line each. Of two sizes it leaves out what only more can tell.
 func Markdown(w io.Writer, all []Series) error {
 	text := "| measure | size x | cost y | slope | at 0 | r² | exponent (r²) | at the end | points x: y |\n" +
 		"| --- | --- | --- | --- | --- | --- | --- | --- | --- |\n"
@@ -118,6 +128,8 @@
 		switch f, err := Of(s.Points); {
 		case err != nil:
 			text += "- | - | - | - | - | "
+		case f.Sizes == 2:
+			text += fmt.Sprintf("%s | %s | - | - | %.2f | ", short(f.Slope), short(f.Intercept), f.End)
 		case f.LogPoints == 0:
 			text += fmt.Sprintf("%s | %s | %.3f | - | - | ", short(f.Slope), short(f.Intercept), f.R2)
 		default:
--- a/internal/slope/slope_test.go
+++ b/internal/slope/slope_test.go
@@ -82,18 +82,20 @@
 	s := Series{Name: "call", X: "servers", Y: "µs"}
 	s.Add(1, 3)
 	s.Add(2, 5)
+	s.Add(4, 9)
 	text, err := json.Marshal([]Series{s, {Name: "none"}})
 	if err != nil || !strings.Contains(string(text), `"slope":2,"intercept":1`) || strings.Count(string(text), `"fit"`) != 1 {
 		t.Errorf("%s, %v", text, err)
 	}
 	var table strings.Builder
-	err = Markdown(&table, []Series{s, {Name: "none"}})
+	two := Series{Name: "two", X: "servers", Y: "µs", Points: s.Points[:2]}
+	err = Markdown(&table, []Series{s, {Name: "none"}, two})
 	lines := strings.Split(table.String(), "\n")
-	if err != nil || len(lines) != 5 || !strings.HasPrefix(lines[2], "| call | servers | µs | 2 | 1 | 1.000 | 0.74") ||
-		!strings.HasSuffix(lines[2], "| 1: 3, 2: 5 |") {
+	if err != nil || len(lines) != 6 || !strings.HasPrefix(lines[2], "| call | servers | µs | 2 | 1 | 1.000 | 0.79") ||
+		!strings.HasSuffix(lines[2], "| 1: 3, 2: 5, 4: 9 |") || lines[4] != "| two | servers | µs | 2 | 1 | - | - | 0.74 | 1: 3, 2: 5 |" {
 		t.Errorf("%q, %v", lines, err)
 	}
-	for i, l := range lines[:4] {
+	for i, l := range lines[:5] {
 		if strings.Count(l, "|") != 10 {
 			t.Errorf("line %d has %d bars: %q", i, strings.Count(l, "|"), l)
 		}
