Let a fleet's time between calls for lists be set

The module's back-off after a failed call follows the settings' askEvery, and so does the time until the last sidecar is answered after an outage; a comparison with hollow fleets needs it to be the same. A wave of restarts now tells as well when the last restarted sidecar was answered. added measures three sizes, as two tell no fit.

--- a/cmd/slopes/main.go
+++ b/cmd/slopes/main.go
@@ -192,7 +192,7 @@
 	Warm      time.Duration `help:"Time of calls before that." default:"2s"`
 	Rate      float64       `help:"Calls a second by the sidecar, and as many direct." default:"168"`
 	Work      time.Duration `help:"Work of an endpoint on a call." default:"0s"`
-	Endpoints []int         `help:"Sizes of the tier, at most 300." default:"29,300"`
+	Endpoints []int         `help:"Sizes of the tier, at most 300." default:"29,100,300"`
 }
 
 func (c *addedCommand) Run(ctx context.Context, o *output) error {
@@ -230,6 +230,7 @@
 	Work      time.Duration `help:"Work of an endpoint on a call." default:"0s"`
 	CallTime  time.Duration `help:"Time that discovery needs for each call, in turn." default:"0s"`
 	MaxWait   time.Duration `help:"Longest wait of a call for its turn; 0 = any." default:"0s"`
+	AskEvery  time.Duration `help:"Time between calls for lists in the settings; the module's back-off follows it." default:"10s"`
 	Outages   []string      `help:"Ways in which discovery is away, one after another." enum:"refused,503,silent" default:"refused,503,silent"`
 	Rest      time.Duration `help:"Time measured before, and after each return." default:"10s"`
 	Away      time.Duration `help:"Length of an outage." default:"8s"`
@@ -247,7 +248,7 @@
 	}
 	r, err := rig.Fleet{
 		Binary: binary, Sidecars: c.Sidecars, Endpoints: c.Endpoints, Pushed: c.Pushed, Rate: c.Rate, Work: c.Work,
-		CallTime: c.CallTime, MaxWait: c.MaxWait, Outages: outages, Rest: c.Rest, Away: c.Away, Killed: c.Killed,
+		AskEvery: c.AskEvery, CallTime: c.CallTime, MaxWait: c.MaxWait, Outages: outages, Rest: c.Rest, Away: c.Away, Killed: c.Killed,
 	}.Run(ctx)
 	if err != nil {
 		return err
--- a/internal/rig/added.go
+++ b/internal/rig/added.go
@@ -17,7 +17,7 @@
 	Warm      time.Duration // calls before that; default 2 s
 	Rate      float64       // calls a second by the sidecar, and as many direct; default 168
 	Work      time.Duration // of an endpoint on a call; default 0
-	Endpoints []int         // sizes of the tier; default 29 and 300
+	Endpoints []int         // sizes of the tier; default 29, 100 and 300
 }
 
 // AddedRow is one effect at one size.
@@ -43,7 +43,7 @@
 func (o Added) Run(ctx context.Context) (AddedResult, error) {
 	o.For, o.Rate, o.Warm = cmp.Or(o.For, 20*time.Second), cmp.Or(o.Rate, 168), cmp.Or(o.Warm, 2*time.Second)
 	if len(o.Endpoints) == 0 {
-		o.Endpoints = []int{29, 300}
+		o.Endpoints = []int{29, 100, 300}
 	}
 	machine := Observe()
 	var r AddedResult
--- a/internal/rig/cost.go
+++ b/internal/rig/cost.go
@@ -48,6 +48,7 @@
 	dir, binary string
 	discovery   *Discovery
 	endpoints   *Endpoints
+	askEvery    time.Duration
 
 	mu       sync.Mutex
 	programs []*program // by number; nil = not started yet
@@ -61,7 +62,7 @@
 	if entries < 1 {
 		return nil, fmt.Errorf("rig: a list of %d entries", entries)
 	}
-	b = &bench{programs: make([]*program, sidecars)}
+	b = &bench{askEvery: askEvery, programs: make([]*program, sidecars)}
 	defer func() {
 		if err != nil {
 			b.close()
@@ -88,7 +89,7 @@
 // is told the list that it had.
 func (b *bench) start(ctx context.Context, i int, asked bool) error {
 	name := fmt.Sprint("n", i)
-	set := settings(len(b.programs), i, asked)
+	set := settings(len(b.programs), i, asked, b.askEvery)
 	p, err := start(ctx, b.binary, b.dir, name, b.discovery.Addr(i), b.discovery.List(), set)
 	if err != nil {
 		return err
@@ -144,7 +145,7 @@
 	}
 	after, err := b.programs[0].usage()
 	return used{
-		seconds: time.Since(begin).Seconds(), cpu: float64(after.CPU-before.CPU) / float64(time.Millisecond),
+		seconds: time.Since(begin).Seconds(), cpu: milliseconds(after.CPU - before.CPU),
 		Usage: after, control: b.discovery.Traffic().minus(control),
 	}, err
 }
@@ -251,7 +252,8 @@
 		return err
 	}
 	defer b.close()
-	u, err := b.measure(ctx, func() error { return makeChanges(ctx, b.discovery, b.endpoints.Targets(restList), perMinute, o.For) })
+	targets := b.endpoints.Targets(restList)
+	u, err := b.measure(ctx, func() error { return makeChanges(ctx, b.discovery, targets, perMinute, o.For) })
 	if err != nil {
 		return err
 	}
@@ -365,4 +367,6 @@
 	}
 }
 
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
 func mb(bytes int64) float64 { return float64(bytes) / (1 << 20) }
--- a/internal/rig/fanout.go
+++ b/internal/rig/fanout.go
@@ -103,7 +103,7 @@
 			return 0, 0, 0, err
 		}
 		after, err := usage(child.cmd.Process.Pid)
-		return float64(after.CPU-before.CPU) / float64(time.Millisecond), float64(bytes.Load() - had),
+		return milliseconds(after.CPU - before.CPU), float64(bytes.Load() - had),
 			time.Since(begin).Seconds(), err
 	}
 	cpu, wrote, seconds, err := spent(0)
@@ -152,7 +152,7 @@
 		bytes += got
 	}
 	after, err := usage(child.cmd.Process.Pid)
-	to[0].Add(float64(n), float64(after.CPU-before.CPU)/float64(time.Millisecond)/float64(calls))
+	to[0].Add(float64(n), milliseconds(after.CPU-before.CPU)/float64(calls))
 	to[1].Add(float64(n), float64(bytes)/float64(calls))
 	return err
 }
--- a/internal/rig/fleet.go
+++ b/internal/rig/fleet.go
@@ -22,6 +22,7 @@
 	Work      time.Duration // of an endpoint on a call; default 0
 	CallTime  time.Duration // discovery's, for each call in turn; default 0
 	MaxWait   time.Duration // of a call for its turn; default none
+	AskEvery  time.Duration // the settings' time between calls of one that has no watch; default 10 s
 	Outages   []Outage      // one after another; default all three ways
 	Rest      time.Duration // measured before them, and after the last answer of each; default 10 s
 	Away      time.Duration // length of an outage; default 8 s
@@ -40,7 +41,7 @@
 	ResidentMost   float64 `json:"resident_mb_most"`
 	Calls          Calls   `json:"calls"`    // of clients; those open at the end are left out
 	Answered       int     `json:"answered"` // sidecars of which discovery has answered a call since the phase began
-	Told           float64 `json:"told_ms"`  // from the phase's beginning until the last one's first answer; -1 = not all
+	Told           float64 `json:"told_ms"`  // from the phase's beginning until the last of all, or of the restarted, was; -1 = not told
 	Restarted      int     `json:"restarted"`
 	ReadyP50       float64 `json:"ready_p50_ms"` // from a process's start until it is ready
 	ReadyMax       float64 `json:"ready_max_ms"`
@@ -61,6 +62,7 @@
 func (o Fleet) Run(ctx context.Context) (FleetResult, error) {
 	o.Sidecars, o.Endpoints = cmp.Or(o.Sidecars, 20), cmp.Or(o.Endpoints, 30)
 	o.Rest, o.Away, o.Killed = cmp.Or(o.Rest, 10*time.Second), cmp.Or(o.Away, 8*time.Second), cmp.Or(o.Killed, 0.7)
+	o.AskEvery = cmp.Or(o.AskEvery, askEvery)
 	if o.Outages == nil {
 		o.Outages = []Outage{Refused, Refusing, Silent}
 	}
@@ -75,6 +77,7 @@
 	}
 	defer b.close()
 	b.discovery.callTime, b.discovery.maxWait = o.CallTime, o.MaxWait // nobody asks yet
+	b.askEvery = o.AskEvery
 	f := &fleet{Fleet: o, bench: b}
 	all := make([]int, o.Sidecars)
 	for i := range all {
@@ -171,13 +174,16 @@
 	p.Calls = via.result()
 	p.Control, p.CallsPerSecond = f.discovery.Traffic().minus(control), f.discovery.perSecond()
 	if p.Answered == 0 {
-		p.Answered, _ = f.discovery.answered()
+		var last time.Time
+		if p.Answered, last = f.discovery.answered(); p.Restarted > 0 && p.Answered == p.Restarted {
+			p.Told = milliseconds(last.Sub(begin))
+		}
 	}
 	after, err := f.usages()
 	for i, u := range after {
-		cpu := float64(u.CPU) / float64(time.Millisecond)
+		cpu := milliseconds(u.CPU)
 		if i < len(before) {
-			cpu -= float64(before[i].CPU) / float64(time.Millisecond)
+			cpu -= milliseconds(before[i].CPU)
 		}
 		p.CPU += cpu / p.Seconds / float64(len(after))
 		p.CPUMost = max(p.CPUMost, cpu/p.Seconds)
@@ -213,7 +219,7 @@
 		return p.Answered == f.Sidecars
 	})
 	if err == nil {
-		p.Told = float64(last.Sub(begin)) / float64(time.Millisecond)
+		p.Told = milliseconds(last.Sub(begin))
 	}
 	if errors.Is(err, errWaited) {
 		return nil // the phase says how many were
@@ -250,7 +256,7 @@
 	}
 	var ready []float64
 	for _, i := range which {
-		ready = append(ready, float64(f.programs[i].ready)/float64(time.Millisecond))
+		ready = append(ready, milliseconds(f.programs[i].ready))
 	}
 	slices.Sort(ready)
 	p.Restarted, p.ReadyP50, p.ReadyMax = len(ready), ready[len(ready)/2], ready[len(ready)-1]
--- a/internal/rig/process.go
+++ b/internal/rig/process.go
@@ -23,6 +23,7 @@
 const (
 	memoryMB = 192  // limit that a sidecar is told
 	sockets  = 4096 // descriptors that it is told
+	askEvery = 10 * time.Second
 )
 
 // program is one sidecar process. It is ended by its own handle, or dies with this process.
@@ -39,7 +40,7 @@
 }
 
 // settings are what a sidecar of the rig is told; asked says whether it asks for lists or has them pushed.
-func settings(copies, rank int, asked bool) map[string]any {
+func settings(copies, rank int, asked bool, askEvery time.Duration) map[string]any {
 	membership := "pushed"
 	if asked {
 		membership = "on_request"
@@ -53,7 +54,7 @@
 		"balancers": copies, "rank": rank, "stages": []string{"a"}, "zones": []string{"z"}, "kinds": []string{"k"},
 		"membershipMode": membership,
 		"limits":         map[string]any{"maxAttempts": 3, "cancel": true, "connectTimeout": 250, "connIdle": 10000, "retryAfter": true},
-		"safety":         map[string]any{"answerSlack": 20, "drainGrace": 500, "coldFrom": 0.3, "rampTime": 8000, "askEvery": 10000},
+		"safety":         map[string]any{"answerSlack": 20, "drainGrace": 500, "coldFrom": 0.3, "rampTime": 8000, "askEvery": milliseconds(askEvery)},
 		"classes":        []any{class("read", "read_like"), class("add", "idempotency_key"), class("pay", "non_idempotent")},
 	}
 }
--- a/internal/rig/rig_test.go
+++ b/internal/rig/rig_test.go
@@ -172,7 +172,7 @@
 		t.Fatal(err)
 	}
 	defer b.close()
-	set := settings(1, 0, true)
+	set := settings(1, 0, true, askEvery)
 	set["classes"] = nil
 	_, err = start(ctx, b.binary, b.dir, "n0", b.discovery.Addr(0), b.discovery.List(), set)
 	if err == nil || !strings.Contains(err.Error(), "Classes is empty") {
