Give each sidecar of the rig a seed of its own at each start

Two trial fleets, of 20 and of 60, had their first calls answered last after 2.47 and 2.49 s and, after an outage, after 11.635 and 11.631 s: all sidecars had one seed, taken from the length of their names, and so waited for the same times. The test failed before and passes now; the package passes with -race.

--- a/internal/rig/cost.go
+++ b/internal/rig/cost.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -52,6 +53,7 @@
 
 	mu       sync.Mutex
 	programs []*program // by number; nil = not started yet
+	random   *rand.Rand // seeds of the sidecars
 }
 
 // newBench starts all but the sidecars, with a list of so many entries.
@@ -62,7 +64,7 @@
 	if entries < 1 {
 		return nil, fmt.Errorf("rig: a list of %d entries", entries)
 	}
-	b = &bench{askEvery: askEvery, programs: make([]*program, sidecars)}
+	b = &bench{askEvery: askEvery, programs: make([]*program, sidecars), random: rand.New(rand.NewPCG(1, 2))}
 	defer func() {
 		if err != nil {
 			b.close()
@@ -90,7 +92,7 @@
 func (b *bench) start(ctx context.Context, i int, asked bool) error {
 	name := fmt.Sprint("n", i)
 	set := settings(len(b.programs), i, asked, b.askEvery)
-	p, err := start(ctx, b.binary, b.dir, name, b.discovery.Addr(i), b.discovery.List(), set)
+	p, err := start(ctx, b.binary, b.dir, name, b.discovery.Addr(i), b.discovery.List(), b.seed(), set)
 	if err != nil {
 		return err
 	}
@@ -103,6 +105,13 @@
 	return p.awaitReady(ctx)
 }
 
+// seed is a new one for each start, as the deploy page says: sidecars with one seed would all wait for the same times.
+func (b *bench) seed() uint64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.random.Uint64()
+}
+
 // addr is where clients reach the sidecar of that number, or last did.
 func (b *bench) addr(i int) string {
 	b.mu.Lock()
--- a/internal/rig/process.go
+++ b/internal/rig/process.go
@@ -13,6 +13,7 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -60,9 +61,10 @@
 }
 
 // start writes a configuration into dir and starts a sidecar on it, which holds the list known. The process ends with ctx.
-func start(ctx context.Context, binary, dir, name, discovery string, known sidecar.List, set map[string]any) (*program, error) {
+func start(ctx context.Context, binary, dir, name, discovery string, known sidecar.List,
+	seed uint64, set map[string]any) (*program, error) {
 	text, err := json.Marshal(map[string]any{
-		"name": name, "listen": host, "discovery": discovery, "seed": fmt.Sprintf("%x", len(name)+1),
+		"name": name, "listen": host, "discovery": discovery, "seed": strconv.FormatUint(seed, 16),
 		"limits":   map[string]any{"cores": 1, "memory_mb": memoryMB, "sockets": sockets},
 		"settings": set, "known": known,
 	})
--- a/internal/rig/rig_test.go
+++ b/internal/rig/rig_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"os"
+	"path/filepath"
 	"strconv"
 	"strings"
 	"sync"
@@ -174,12 +177,37 @@
 	defer b.close()
 	set := settings(1, 0, true, askEvery)
 	set["classes"] = nil
-	_, err = start(ctx, b.binary, b.dir, "n0", b.discovery.Addr(0), b.discovery.List(), set)
+	_, err = start(ctx, b.binary, b.dir, "n0", b.discovery.Addr(0), b.discovery.List(), b.seed(), set)
 	if err == nil || !strings.Contains(err.Error(), "Classes is empty") {
 		t.Errorf("error %v", err)
 	}
 }
 
+// Sidecars of one seed would ask and come back in step, and their fleet would tell nothing.
+func TestEachStartHasASeedOfItsOwn(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), long)
+	defer cancel()
+	b := running(ctx, t, 2)
+	seeds := map[string]bool{}
+	for i := range 2 {
+		for range 2 {
+			text, err := os.ReadFile(filepath.Join(b.dir, fmt.Sprint("n", i, ".json")))
+			if err != nil {
+				t.Fatal(err)
+			}
+			var cfg struct{ Seed string }
+			if err := json.Unmarshal(text, &cfg); err != nil || cfg.Seed == "" || seeds[cfg.Seed] {
+				t.Errorf("sidecar %d starts with the seed %q after %v, %v", i, cfg.Seed, seeds, err)
+			}
+			seeds[cfg.Seed] = true
+			b.programs[i].kill()
+			if err := b.start(ctx, i, false); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+}
+
 func TestLimitsAreKept(t *testing.T) {
 	for _, n := range []int{0, MaxProcesses + 1} {
 		if err := enough(n); err == nil {
