Leave no folder behind where a stand-in is killed

Each stand-in process of slopes discovery left an empty folder, as the command made one for a program to build before it knew whether it would build any, and such a process ends by SIGKILL. The folder is now made for the build alone. The test failed before; the package's tests pass, also with -race.

--- a/cmd/slopes/main.go
+++ b/cmd/slopes/main.go
@@ -52,7 +52,7 @@
 	args   *arguments
 	stdin  io.Reader
 	stdout io.Writer
-	dir    string // for the program that is built
+	dir    string // of the program that was built; "" = none
 }
 
 func run(ctx context.Context, words []string, stdin io.Reader, stdout, stderr io.Writer) int {
@@ -75,14 +75,10 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, args.Within)
 	defer cancel()
-	dir, err := os.MkdirTemp("", "slopes")
-	if err != nil {
-		fmt.Fprintln(stderr, "slopes:", err)
-		return exitFailed
-	}
-	defer os.RemoveAll(dir)
+	o := &output{args: &args, stdin: stdin, stdout: stdout}
+	defer o.clear()
 	command.BindTo(ctx, (*context.Context)(nil))
-	if err := command.Run(&output{args: &args, stdin: stdin, stdout: stdout, dir: dir}); err != nil {
+	if err := command.Run(o); err != nil {
 		fmt.Fprintln(stderr, "slopes:", err)
 		return exitFailed
 	}
@@ -94,9 +90,20 @@
 	if o.args.Sidecar != "" {
 		return o.args.Sidecar, nil
 	}
+	var err error
+	if o.dir, err = os.MkdirTemp("", "slopes"); err != nil {
+		return "", err
+	}
 	return rig.Build(ctx, o.dir)
 }
 
+// clear removes the program that was built.
+func (o *output) clear() {
+	if o.dir != "" {
+		os.RemoveAll(o.dir)
+	}
+}
+
 // print writes a result as JSON, or else what f writes.
 func (o *output) print(result any, f func(w io.Writer) error) error {
 	if !o.args.JSON {
--- a/cmd/slopes/main_test.go
+++ b/cmd/slopes/main_test.go
@@ -25,6 +25,8 @@
 }
 
 func TestTablesAndJSON(t *testing.T) {
+	dir := t.TempDir() // the stand-in's process inherits it
+	t.Setenv("TMPDIR", dir)
 	for _, line := range []string{
 		"module --servers=4,8 --waiting=3,6 --rounds=1 --round=1us",
 		"discovery --for=20ms --watches=1,2 --lists=1,2",
@@ -53,6 +55,15 @@
 			}
 		}
 	}
+	noFiles(t, dir)
+}
+
+// No run leaves a file behind, though its stand-in's process is killed.
+func noFiles(t *testing.T, dir string) {
+	t.Helper()
+	if left, err := os.ReadDir(dir); err != nil || len(left) > 0 {
+		t.Errorf("files left: %v, %v", left, err)
+	}
 }
 
 // Bad arguments, what cannot be measured and help have their own exit codes; complaints are one line.
