--- a/internal/rig/cost.go
+++ b/internal/rig/cost.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -48,9 +49,11 @@
 	dir, binary string
 	discovery   *Discovery
 	endpoints   *Endpoints
+	askEvery    time.Duration
 
 	mu       sync.Mutex
 	programs []*program // by number; nil = not started yet
+	random   *rand.Rand // seeds of the sidecars
 }
 
 // newBench starts all but the sidecars, with a list of so many entries.
@@ -61,7 +64,7 @@
 	if entries < 1 {
 		return nil, fmt.Errorf("rig: a list of %d entries", entries)
 	}
-	b = &bench{programs: make([]*program, sidecars)}
+	b = &bench{askEvery: askEvery, programs: make([]*program, sidecars), random: rand.New(rand.NewPCG(1, 2))}
 	defer func() {
 		if err != nil {
 			b.close()
@@ -88,8 +91,8 @@
 // is told the list that it had.
 func (b *bench) start(ctx context.Context, i int, asked bool) error {
 	name := fmt.Sprint("n", i)
-	set := settings(len(b.programs), i, asked)
-	p, err := start(ctx, b.binary, b.dir, name, b.discovery.Addr(i), b.discovery.List(), set)
+	set := settings(len(b.programs), i, asked, b.askEvery)
+	p, err := start(ctx, b.binary, b.dir, name, b.discovery.Addr(i), b.discovery.List(), b.seed(), set)
 	if err != nil {
 		return err
 	}
@@ -102,6 +105,13 @@
 	return p.awaitReady(ctx)
 }
 
+// seed is a new one for each start, as the deploy page says: sidecars with one seed would all wait for the same times.
+func (b *bench) seed() uint64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.random.Uint64()
+}
+
 // addr is where clients reach the sidecar of that number, or last did.
 func (b *bench) addr(i int) string {
 	b.mu.Lock()
@@ -144,7 +154,7 @@
 	}
 	after, err := b.programs[0].usage()
 	return used{
-		seconds: time.Since(begin).Seconds(), cpu: float64(after.CPU-before.CPU) / float64(time.Millisecond),
+		seconds: time.Since(begin).Seconds(), cpu: milliseconds(after.CPU - before.CPU),
 		Usage: after, control: b.discovery.Traffic().minus(control),
 	}, err
 }
@@ -251,7 +261,8 @@
 		return err
 	}
 	defer b.close()
-	u, err := b.measure(ctx, func() error { return makeChanges(ctx, b.discovery, b.endpoints.Targets(restList), perMinute, o.For) })
+	targets := b.endpoints.Targets(restList)
+	u, err := b.measure(ctx, func() error { return makeChanges(ctx, b.discovery, targets, perMinute, o.For) })
 	if err != nil {
 		return err
 	}
@@ -365,4 +376,6 @@
 	}
 }
 
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
 func mb(bytes int64) float64 { return float64(bytes) / (1 << 20) }
--- a/internal/rig/process.go
+++ b/internal/rig/process.go
@@ -13,6 +13,7 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -23,6 +24,7 @@
 const (
 	memoryMB = 192  // limit that a sidecar is told
 	sockets  = 4096 // descriptors that it is told
+	askEvery = 10 * time.Second
 )
 
 // program is one sidecar process. It is ended by its own handle, or dies with this process.
@@ -39,7 +41,7 @@
 }
 
 // settings are what a sidecar of the rig is told; asked says whether it asks for lists or has them pushed.
-func settings(copies, rank int, asked bool) map[string]any {
+func settings(copies, rank int, asked bool, askEvery time.Duration) map[string]any {
 	membership := "pushed"
 	if asked {
 		membership = "on_request"
@@ -53,15 +55,16 @@
 		"balancers": copies, "rank": rank, "stages": []string{"a"}, "zones": []string{"z"}, "kinds": []string{"k"},
 		"membershipMode": membership,
 		"limits":         map[string]any{"maxAttempts": 3, "cancel": true, "connectTimeout": 250, "connIdle": 10000, "retryAfter": true},
-		"safety":         map[string]any{"answerSlack": 20, "drainGrace": 500, "coldFrom": 0.3, "rampTime": 8000, "askEvery": 10000},
+		"safety":         map[string]any{"answerSlack": 20, "drainGrace": 500, "coldFrom": 0.3, "rampTime": 8000, "askEvery": milliseconds(askEvery)},
 		"classes":        []any{class("read", "read_like"), class("add", "idempotency_key"), class("pay", "non_idempotent")},
 	}
 }
 
 // start writes a configuration into dir and starts a sidecar on it, which holds the list known. The process ends with ctx.
-func start(ctx context.Context, binary, dir, name, discovery string, known sidecar.List, set map[string]any) (*program, error) {
+func start(ctx context.Context, binary, dir, name, discovery string, known sidecar.List,
+	seed uint64, set map[string]any) (*program, error) {
 	text, err := json.Marshal(map[string]any{
-		"name": name, "listen": host, "discovery": discovery, "seed": fmt.Sprintf("%x", len(name)+1),
+		"name": name, "listen": host, "discovery": discovery, "seed": strconv.FormatUint(seed, 16),
 		"limits":   map[string]any{"cores": 1, "memory_mb": memoryMB, "sockets": sockets},
 		"settings": set, "known": known,
 	})
