--- a/cmd/fleetlab/main_test.go
+++ b/cmd/fleetlab/main_test.go
@@ -264,6 +264,15 @@
 	}
 }
 
+// No share is rounded up to all.
+func TestOneCallLateIsNotAllInTime(t *testing.T) {
+	for inTime, want := range map[int64]string{1_000_000: "100.00 %", 999_999: "99.99 %", 975_000: "97.50 %", 0: "0.00 %"} {
+		if got := callCells(experiment.Calls{Asked: 1_000_000, InTime: inTime})[1]; got != want {
+			t.Errorf("%d of a million: %s, want %s", inTime, got, want)
+		}
+	}
+}
+
 // Many services are cut to those that serve worst.
 func TestTableOfManyServicesIsShort(t *testing.T) {
 	r := &experiment.Result{Name: "x"}
--- a/cmd/fleetlab/markdown.go
+++ b/cmd/fleetlab/markdown.go
@@ -5,6 +5,7 @@
 	"cmp"
 	"fmt"
 	"maps"
+	"math"
 	"slices"
 	"strconv"
 	"strings"
@@ -103,7 +104,7 @@
 func callCells(c experiment.Calls) []string {
 	share := "-"
 	if c.Asked > 0 {
-		share = fmt.Sprintf("%.2f %%", 100*inTime(c))
+		share = fmt.Sprintf("%.2f %%", math.Floor(1e4*inTime(c))/100) // 100 only where all were
 	}
 	return []string{count(c.Asked), share, count(c.Refused), count(c.Failed), count(c.Late),
 		figure(c.P50), figure(c.P99), figure(c.P999), figure(c.AddedP99)}
