Reserve descriptors for the calls that wait at a silent discovery

Cause: calls to a discovery that hangs now wait beside each other (listwatch), up to 10 where lists are asked for and 8 where they are pushed; 18 descriptors were reserved at the least limit, and the process itself holds some 14.

Change: 24 and a thirty-second of the limit are reserved, not 16.

Result: TestReservedCoversCallsToASilentDiscovery fails with 16.

--- a/internal/sidecar/descriptors_test.go
+++ b/internal/sidecar/descriptors_test.go
@@ -5,6 +5,9 @@
 	"net"
 	"net/http"
 	"testing"
+	"time"
+
+	"forkline/internal/listwatch"
 )
 
 // Where all connections have open requests nobody can be evicted: a new one is closed at once, which its client can
@@ -70,3 +73,39 @@
 		t.Errorf("status %d", res.StatusCode)
 	}
 }
+
+// Calls to a silent discovery wait beside each other, each with a descriptor; what is reserved has room for them all
+// beside what the process holds by itself, also at the least limit. At the end of a call's time the next is begun first.
+func TestReservedCoversCallsToASilentDiscovery(t *testing.T) {
+	const own = 14 // seen in the program at its limit: runtime, standard streams, listener, configuration
+	for name, p := range map[string]listwatch.Policy{"asked": listwatch.Asked, "pushed": listwatch.Pushed} {
+		random := func() float64 { return 0 } // the shortest pauses
+		w := listwatch.NewWatcher(p, random)
+		kind := listwatch.EvAsk
+		if p.Pause > 0 {
+			kind = listwatch.EvFollow
+		}
+		out, most := 0, 0
+		hear := func(now time.Duration, ev listwatch.Event) {
+			for _, a := range w.Handle(now, ev, nil) {
+				switch a.Kind {
+				case listwatch.ActCall:
+					out++
+				case listwatch.ActDrop:
+					out--
+				}
+				most = max(most, out)
+			}
+		}
+		for now := time.Duration(0); now < time.Minute; now += time.Millisecond {
+			if now == 0 || p.Pause == 0 && now%time.Second == 0 { // the module's shortest round
+				hear(now, listwatch.Event{Kind: kind})
+			}
+			hear(now, listwatch.Event{Kind: listwatch.EvTick})
+		}
+		if most < 2 || own+most > reserved(LeastSockets) {
+			t.Errorf("%s: %d calls wait, %d descriptors are reserved", name, most, reserved(LeastSockets))
+		}
+		t.Logf("%s: %d calls", name, most)
+	}
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -27,8 +27,9 @@
 // LeastSockets is the smallest descriptor limit that leaves some for clients and for endpoints.
 const LeastSockets = 64
 
-// reserved descriptors are for the runtime, standard streams, the listener, discovery and those on their way.
-func reserved(sockets int) int { return 16 + sockets/32 }
+// reserved descriptors are for the runtime, standard streams and the listener, some 14, for the calls to discovery that
+// wait beside each other while it is silent, 10 at most, and for those on their way.
+func reserved(sockets int) int { return 24 + sockets/32 }
 
 const (
 	downstreamPart = 0.6  // of the other descriptors; endpoints get the rest
