Measure a sidecar's calls beside changes and clients' connections

The sidecar command left out memory against changes, control beside calls, and processor time with calls against changes and against connections.

--- a/internal/rig/cost.go
+++ b/internal/rig/cost.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"sync"
 	"time"
 
@@ -139,6 +140,9 @@
 	control Traffic
 }
 
+// controlRate is the bytes a second for control, both ways.
+func (u used) controlRate() float64 { return float64(u.control.Received+u.control.Wrote) / u.seconds }
+
 // measure lets a time pass and tells what the first sidecar used in it.
 func (b *bench) measure(ctx context.Context, run func() error) (used, error) {
 	if err := pause(ctx, settleTime); err != nil {
@@ -188,35 +192,46 @@
 		o.Connections = []int{10, 100, 300, 1000}
 	}
 	machine := Observe()
-	calls := fmt.Sprintf("at %v calls a second: ", o.Rate)
-	r := Result{Series: []slope.Series{
+	calls, withCalls := fmt.Sprintf("at %v calls a second: ", o.Rate), fmt.Sprintf("with %v calls a second", o.Rate)
+	var r Result
+	const control, perSecond = "control", "bytes a second"
+	lists := []slope.Series{
 		{Name: "at rest: memory", X: listLen, Y: resident},
 		{Name: "at rest: processor", X: listLen, Y: cpuRest},
-		{Name: "at rest: control", X: listLen, Y: "bytes a second"},
+		{Name: "at rest: " + control, X: listLen, Y: perSecond},
 		{Name: calls + "memory", X: listLen, Y: resident},
 		{Name: calls + "processor", X: listLen, Y: cpuCall},
+		{Name: calls + control, X: listLen, Y: perSecond},
 		{Name: calls + "connections opened to endpoints", X: listLen, Y: "connections a call"},
-		{Name: "changes: processor", X: "changes a minute", Y: cpuRest},
-		{Name: "changes: control", X: "changes a minute", Y: "bytes a second"},
-		{Name: "clients that ask for readiness once a second: memory", X: "connections", Y: resident},
-		{Name: "clients that ask for readiness once a second: processor", X: "connections", Y: cpuRest},
-	}}
+	}
+	const changing, asking = "changes: ", "clients that ask for readiness once a second: "
+	changes := []slope.Series{
+		{Name: changing + "memory", X: "changes a minute", Y: resident},
+		{Name: changing + "processor", X: "changes a minute", Y: cpuRest},
+		{Name: changing + control, X: "changes a minute", Y: perSecond},
+		{Name: changing + "processor, " + withCalls, X: "changes a minute", Y: cpuRest},
+	}
+	connections := []slope.Series{
+		{Name: asking + "memory", X: "connections", Y: resident},
+		{Name: asking + "processor", X: "connections", Y: cpuRest},
+		{Name: asking + "processor, " + withCalls, X: "connections", Y: cpuRest},
+	}
 	for _, n := range o.Lists {
-		if err := o.list(ctx, n, r.Series[0:6]); err != nil {
+		if err := o.list(ctx, n, lists); err != nil {
 			return r, err
 		}
 	}
 	for _, n := range o.Changes {
-		if err := o.changes(ctx, n, r.Series[6:8]); err != nil {
+		if err := o.changes(ctx, n, changes); err != nil {
 			return r, err
 		}
 	}
 	for _, n := range o.Connections {
-		if err := o.connections(ctx, n, r.Series[8:10]); err != nil {
+		if err := o.connections(ctx, n, connections); err != nil {
 			return r, err
 		}
 	}
-	r.Machine = machine()
+	r.Machine, r.Series = machine(), slices.Concat(lists, changes, connections)
 	return r, nil
 }
 
@@ -233,7 +248,7 @@
 	}
 	to[0].Add(float64(n), mb(u.Resident))
 	to[1].Add(float64(n), u.cpu/u.seconds)
-	to[2].Add(float64(n), float64(u.control.Received+u.control.Wrote)/u.seconds)
+	to[2].Add(float64(n), u.controlRate())
 	via := newWay(func() string { return b.addr(0) })
 	defer via.close()
 	if err := load(ctx, o.Rate, warmTime, effects["safe"], 1, via); err != nil {
@@ -250,7 +265,8 @@
 	to[3].Add(float64(n), mb(u.Resident))
 	all := float64(c.All() - before.All())
 	to[4].Add(float64(n), u.cpu/all)
-	to[5].Add(float64(n), float64(b.endpoints.connections.Load()-opened)/all)
+	to[5].Add(float64(n), u.controlRate())
+	to[6].Add(float64(n), float64(b.endpoints.connections.Load()-opened)/all)
 	return nil
 }
 
@@ -266,9 +282,32 @@
 	if err != nil {
 		return err
 	}
-	to[0].Add(float64(perMinute), u.cpu/u.seconds)
-	to[1].Add(float64(perMinute), float64(u.control.Received+u.control.Wrote)/u.seconds)
-	return nil
+	to[0].Add(float64(perMinute), mb(u.Resident))
+	to[1].Add(float64(perMinute), u.cpu/u.seconds)
+	to[2].Add(float64(perMinute), u.controlRate())
+	u, err = o.called(ctx, b, func() error { return makeChanges(ctx, b.discovery, targets, perMinute, o.For) })
+	to[3].Add(float64(perMinute), u.cpu/max(u.seconds, 1e-9))
+	return err
+}
+
+// called measures as measure does, while calls come at their rate, after some that are not measured.
+func (o Sidecar) called(ctx context.Context, b *bench, run func() error) (used, error) {
+	via := newWay(func() string { return b.addr(0) })
+	defer via.close()
+	if err := load(ctx, o.Rate, warmTime, effects["safe"], 1, via); err != nil {
+		return used{}, err
+	}
+	var loaded error
+	u, err := b.measure(ctx, func() error {
+		var calls sync.WaitGroup
+		defer calls.Wait()
+		calls.Go(func() { loaded = load(ctx, o.Rate, o.For, effects["safe"], 2, via) })
+		return run()
+	})
+	if c := via.result(); err == nil && loaded == nil && c.Served < c.All()/2 {
+		err = fmt.Errorf("rig: %d served, %d refused, %d failed", c.Served, c.Refused, c.Failed)
+	}
+	return u, cmp.Or(err, loaded)
 }
 
 // makeChanges makes changes evenly: in turn an entry drains and is ready again.
@@ -341,7 +380,14 @@
 	}
 	to[0].Add(float64(n), mb(u.Resident))
 	to[1].Add(float64(n), u.cpu/u.seconds)
-	return nil
+	u, err = o.called(ctx, b, func() error { return pause(ctx, o.For) })
+	to[2].Add(float64(n), u.cpu/max(u.seconds, 1e-9))
+	select {
+	case lost := <-failed:
+		return fmt.Errorf("rig: %d connections: %w", n, lost)
+	default:
+		return err
+	}
 }
 
 // poll keeps one connection to a sidecar in use until ctx ends; first is told of the first answer.
