Print no exponent where only one size is above nothing

Of two sizes, one of them 0, the table showed an exponent of 0.00 that nothing had been fitted to. The test failed before; the package's tests pass.

--- a/internal/slope/slope.go
+++ b/internal/slope/slope.go
@@ -128,6 +128,8 @@
 		switch f, err := Of(s.Points); {
 		case err != nil:
 			text += "- | - | - | - | - | "
+		case f.Sizes == 2 && f.LogPoints == 0:
+			text += fmt.Sprintf("%s | %s | - | - | - | ", short(f.Slope), short(f.Intercept))
 		case f.Sizes == 2:
 			text += fmt.Sprintf("%s | %s | - | - | %.2f | ", short(f.Slope), short(f.Intercept), f.End)
 		case f.LogPoints == 0:
--- a/internal/slope/slope_test.go
+++ b/internal/slope/slope_test.go
@@ -89,13 +89,15 @@
 	}
 	var table strings.Builder
 	two := Series{Name: "two", X: "servers", Y: "µs", Points: s.Points[:2]}
-	err = Markdown(&table, []Series{s, {Name: "none"}, two})
+	zero := Series{Name: "zero", X: "servers", Y: "µs", Points: []Point{{0, 1}, {1, 3}}}
+	err = Markdown(&table, []Series{s, {Name: "none"}, two, zero})
 	lines := strings.Split(table.String(), "\n")
-	if err != nil || len(lines) != 6 || !strings.HasPrefix(lines[2], "| call | servers | µs | 2 | 1 | 1.000 | 0.79") ||
-		!strings.HasSuffix(lines[2], "| 1: 3, 2: 5, 4: 9 |") || lines[4] != "| two | servers | µs | 2 | 1 | - | - | 0.74 | 1: 3, 2: 5 |" {
+	if err != nil || len(lines) != 7 || !strings.HasPrefix(lines[2], "| call | servers | µs | 2 | 1 | 1.000 | 0.79") ||
+		!strings.HasSuffix(lines[2], "| 1: 3, 2: 5, 4: 9 |") || lines[4] != "| two | servers | µs | 2 | 1 | - | - | 0.74 | 1: 3, 2: 5 |" ||
+		lines[5] != "| zero | servers | µs | 2 | 1 | - | - | - | 0: 1, 1: 3 |" {
 		t.Errorf("%q, %v", lines, err)
 	}
-	for i, l := range lines[:5] {
+	for i, l := range lines[:6] {
 		if strings.Count(l, "|") != 10 {
 			t.Errorf("line %d has %d bars: %q", i, strings.Count(l, "|"), l)
 		}
