Wait for a resting connection in place of a new one, as calls follow each other

Cause: an endpoint makes its calls one after another, so the next call comes right behind an answer. Its connection rests for 10 ms then (take, upstream.go), and connect dialled a second one.

Change: with no rested connection idle, a call waits for the one that will have rested first, if it is due before the call's end and the wait is no longer than that connection's last request took. Without the last condition, endpoints that answer at once seemed silent to the module, which called attempts off (TestComingRequestsDoNotGiveWay failed). Nothing is reused sooner than before. TestAConnectionsRestIsWaitedFor failed before in six of its cases.

--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -66,6 +66,8 @@
 	home    *endpoint
 	since   time.Time     // idle since then
 	idle    time.Duration // before it was taken; 0 = it is new
+	taken   time.Time
+	took    time.Duration // its last request
 	dropped bool          // it broke at once under a request, before any answer
 	spoilt  bool          // bytes came that can answer no request sent on it
 }
@@ -315,13 +317,19 @@
 
 var errPoolExhausted = errors.New("the pool is at its limit and none of its connections is idle")
 
-// connect takes an idle connection that is still open, or dials.
+// connect takes an idle connection that is still open, waits out the rest of one that was used just now, or dials.
 func (u *upstream) connect(ctx context.Context, e *endpoint, until time.Time, once bool) (*conn, error) {
 	for {
-		c := u.take(e, once)
+		c, wait := u.take(e, until, once)
 		if c == nil {
 			break
 		}
+		if err := pause(ctx, wait); err != nil {
+			u.discard(c)
+			return nil, err
+		}
+		c.taken = time.Now()
+		c.idle = c.taken.Sub(c.since)
 		if stillOpen(c.Conn) {
 			return c, nil
 		}
@@ -338,35 +346,59 @@
 		u.mu.Unlock()
 		return nil, fmt.Errorf("dial: %w", err)
 	}
-	return &conn{Conn: raw, reader: bufio.NewReader(raw), home: e}, nil
+	return &conn{Conn: raw, reader: bufio.NewReader(raw), home: e, taken: time.Now()}, nil
 }
 
-// take pops the connection used last, so that the others can grow old. One that was used just now stays: a second
-// answer, which an endpoint in trouble may send a little behind the first, would be taken for the next client's. One that was idle for longer than a request
-// that must not run twice can trust stays for the others, which may be sent again.
-func (u *upstream) take(e *endpoint, once bool) *conn {
+// take pops an idle connection and tells how long it has to rest yet: on one used just now a second answer, which an
+// endpoint in trouble may send a little behind the first, would be taken for the next client's. Best is the one used
+// last of those that have rested, so that the others can grow old. Failing that it is the one that will have rested
+// first, if that is in time and no longer than its last request took: a new one costs its endpoint work, and stays
+// open, but where answers come at once a wait would look like a server that says nothing. One that was idle for longer
+// than a request that must not run twice can trust stays for the others, which may be sent again.
+func (u *upstream) take(e *endpoint, until time.Time, once bool) (c *conn, wait time.Duration) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	now := time.Now()
 	n := len(e.idle) - 1
-	for n >= 0 && time.Since(e.idle[n].since) < u.rest {
+	for n >= 0 && now.Sub(e.idle[n].since) < u.rest {
 		n--
 	}
-	if n < 0 {
-		return nil
+	oldest := u.idleLimit
+	if once {
+		oldest = min(oldest, u.trust)
 	}
-	c := e.idle[n]
-	c.idle = time.Since(c.since)
-	if c.idle > u.idleLimit { // so are all that are older
-		for range n + 1 {
+	if n >= 0 && now.Sub(e.idle[n].since) > u.idleLimit { // so are all that are older
+		for ; n >= 0; n-- {
 			u.closeOldest(e)
 		}
+	}
+	if n < 0 || now.Sub(e.idle[n].since) > oldest {
+		if n++; n == len(e.idle) || u.rest > oldest {
+			return nil, 0
+		}
+		wait = u.rest - now.Sub(e.idle[n].since)
+		if wait > e.idle[n].took || !now.Add(wait).Before(until) {
+			return nil, 0
+		}
+	}
+	c = e.idle[n]
+	e.idle = slices.Delete(e.idle, n, n+1)
+	return c, wait
+}
+
+// pause waits for so long, or for the context's end, which is its error.
+func pause(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
 		return nil
 	}
-	if once && c.idle > u.trust {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
 		return nil
+	case <-ctx.Done():
+		return ctx.Err()
 	}
-	e.idle = slices.Delete(e.idle, n, n+1)
-	return c
 }
 
 // reused learns from a connection that was idle. Endpoints, or what lies on the way, may drop idle connections long
@@ -422,6 +454,7 @@
 		return
 	}
 	c.since = time.Now()
+	c.took = c.since.Sub(c.taken)
 	c.home.idle = append(c.home.idle, c)
 	if !u.sweeping {
 		u.sweeping = true
--- a/internal/sidecar/upstream_test.go
+++ b/internal/sidecar/upstream_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"forkline"
@@ -435,6 +438,95 @@
 	}
 }
 
+// idleConn opens a connection to ln and puts it into u's pool, as one that a request has just been on for so long; it
+// returns the far end too.
+func idleConn(t *testing.T, u *upstream, ln net.Listener, took time.Duration) (c *conn, far net.Conn) {
+	t.Helper()
+	raw, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if far, err = ln.Accept(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { raw.Close(); far.Close() })
+	c = &conn{Conn: raw, reader: bufio.NewReader(raw), home: u.find(1), taken: time.Now().Add(-took)}
+	u.open++
+	u.put(c)
+	return c, far
+}
+
+// A connection that was used just now is waited for: a new one costs its endpoint work and stays open. With calls one
+// after another there would be two where one does. But where answers come at once the wait would seem a silence, for
+// which the module calls an attempt off. All on virtual time.
+func TestAConnectionsRestIsWaitedFor(t *testing.T) {
+	const rest = 10 * time.Millisecond
+	for name, c := range map[string]struct {
+		before func(u *upstream, first, second *conn, far net.Conn, cancel func())
+		took   time.Duration // the last request on each
+		until  time.Duration
+		once   bool
+		want   int           // the connection that is taken, of two put away 1 ms apart; 0 is none: it dials
+		after  time.Duration // from the later one's last use
+		open   int
+	}{
+		"the one first put away":   {nil, rest, long, false, 1, rest - time.Millisecond, 2},
+		"also by the unsafe":       {nil, rest, long, true, 1, rest - time.Millisecond, 2},
+		"not beyond the time left": {nil, rest, rest - 2*time.Millisecond, false, 0, 0, 2},
+		"one that has rested goes ahead": {func(*upstream, *conn, *conn, net.Conn, func()) {
+			time.Sleep(rest - time.Millisecond)
+		}, rest, long, false, 1, rest - time.Millisecond, 2},
+		"the later one, once both have": {func(*upstream, *conn, *conn, net.Conn, func()) {
+			time.Sleep(rest)
+		}, rest, long, false, 2, rest, 2},
+		"in place of one that is not trusted": {func(u *upstream, first, _ *conn, _ net.Conn, _ func()) {
+			u.trust, first.since = leastTrust, first.since.Add(-time.Second)
+		}, rest, long, true, 2, rest, 2},
+		"in place of one that is too old": {func(u *upstream, first, _ *conn, _ net.Conn, _ func()) {
+			first.since = first.since.Add(-time.Hour)
+		}, rest, long, false, 2, rest, 1},
+		"not for longer than a request takes": {nil, rest - 2*time.Millisecond, long, false, 0, 0, 2},
+		"not for longer than is trusted": {func(u *upstream, _, _ *conn, _ net.Conn, _ func()) {
+			u.trust = rest - 1
+		}, rest, long, true, 0, 0, 2},
+		"a second answer meanwhile": {func(_ *upstream, first, _ *conn, far net.Conn, _ func()) {
+			time.AfterFunc(rest/2, func() {
+				io.WriteString(far, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+				for stillOpen(first.Conn) { // until it has come over the loopback
+					runtime.Gosched()
+				}
+			})
+		}, rest, long, false, 2, rest, 1},
+		"called off meanwhile": {func(_ *upstream, _, _ *conn, _ net.Conn, cancel func()) {
+			time.AfterFunc(rest/2, cancel)
+		}, rest, long, false, 0, rest / 2, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			ln := listen(t)
+			synctest.Test(t, func(t *testing.T) {
+				u := pool("127.0.0.1:1", 4) // nobody listens there
+				u.rest = rest
+				first, far := idleConn(t, u, ln, c.took)
+				time.Sleep(time.Millisecond)
+				second, _ := idleConn(t, u, ln, c.took)
+				start := time.Now()
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				if c.before != nil {
+					c.before(u, first, second, far, cancel)
+				}
+				got, err := u.connect(ctx, u.find(1), time.Now().Add(c.until), c.once)
+				if want := []*conn{nil, first, second}[c.want]; got != want || (err == nil) != (want != nil) {
+					t.Errorf("connection %p and %v, want %d of %p and %p", got, err, c.want, first, second)
+				}
+				if d := time.Since(start); d != c.after || u.open != c.open {
+					t.Errorf("after %v with %d connections, want %v and %d", d, u.open, c.after, c.open)
+				}
+			})
+		})
+	}
+}
+
 // Connections to a server that drains, moved or started anew are of its former life.
 func TestIdleConnectionsEndWithTheServer(t *testing.T) {
 	ln := script(t, func(_ int, c net.Conn, _ *http.Request) bool {
