--- a/internal/experiment/read_test.go
+++ b/internal/experiment/read_test.go
@@ -354,7 +354,7 @@
 		if e.Name != strings.TrimSuffix(filepath.Base(file), ".toml") {
 			t.Errorf("%s is named %s", file, e.Name)
 		}
-		sidecars := map[string]int{"small": 20, "deep": 72, "discovery-return-20": 20, "discovery-return-60": 60, "restart-wave": 60, "full-size": 2824}
+		sidecars := map[string]int{"small": 20, "deep": 72, "beside-real-20": 21, "beside-real-60": 61, "discovery-return-20": 20, "discovery-return-60": 60, "restart-wave": 60, "full-size": 2824}
 		if want, ok := sidecars[e.Name]; !ok && e.Processes() != 2800 || ok && e.Processes() != want {
 			t.Errorf("%s has %d sidecars", file, e.Processes())
 		}
