Hold back of a client's deadline what the core was seen to need, not a fixed part

Cause: the sidecar kept a tenth of the time left, 50 ms at most (loop.go, margin and marginPart; front.go, parse), at each tier, busy or not, so that deep calls ran out of time. The backstop came 10 ms after that, which with 100 ms or less to go is not before the client's time.

Measured are the waits of requests and of attempts' outcomes until the loop takes them up, by how much timers fire late, and the time from an answer's decision to its first byte; not the write itself, as a client that reads slowly would take time from all others. The backstop comes after half of what was held back, and 10 ms at most. What was held before is the most, and holds until enough was measured.

--- a/internal/sidecar/front.go
+++ b/internal/sidecar/front.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"forkline"
+	"forkline/internal/deadline"
 )
 
 const (
@@ -120,18 +121,20 @@
 
 // have gets the final answer to a request that has come whole; none if its caller leaves before.
 func (f *front) have(c *downstreamConn, k *call) (answer, bool) {
-	answered := make(chan answer, 1)
+	answered, decided := make(chan answer, 1), time.Time{}
 	k.reply = func(a answer) {
+		decided = time.Now()
 		c.SetReadDeadline(time.Unix(1, 0)) // ends the wait below; behind the answer, it could end the next request's reading
 		answered <- a
 	}
-	k.due(f.loop.clock(time.Now()))
+	arrived := f.loop.clock(time.Now())
+	k.due(arrived)
 	c.SetReadDeadline(time.Time{})
 	if !f.downstream.begins(c) {
 		return answer{}, false
 	}
 	k.left = c.hasLeft
-	f.loop.post(func() { f.loop.take(k) })
+	f.loop.post(func() { f.loop.margin.measured(deadline.Taking, arrived); f.loop.take(k) })
 	if c.leaves() {
 		select {
 		case a := <-answered:
@@ -143,6 +146,7 @@
 	}
 	select {
 	case a := <-answered:
+		f.loop.margin.answers(decided)
 		return a, true
 	case <-f.loop.ended:
 		return answer{}, false
@@ -214,10 +218,11 @@
 	if !ok {
 		tenant = uint16(len(f.tenants)) // one without a quota
 	}
+	held := f.loop.margin.hold(1000 * wait)
 	k = &call{
 		event: forkline.Event{Class: index, Tenant: tenant, Hint: hint / 1000},
-		wait:  1000*wait - min(float64(margin.Milliseconds()), 1000*marginPart*wait),
-		id:    h.Get("X-Request-Id"), safe: class.Effect == forkline.Safe,
+		wait:  1000*wait - held, held: held,
+		id: h.Get("X-Request-Id"), safe: class.Effect == forkline.Safe,
 	}
 	if cookie, err := (&http.Request{Header: h}).Cookie("obj"); err == nil {
 		sum := fnv.New64a()
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -8,14 +8,12 @@
 	"time"
 
 	"forkline"
+	"forkline/internal/deadline"
 )
 
 const (
-	// A request must be answered this long before its client gives up, at most: it pays for the way there and
-	// back and for waiting for the core. Answers as late as that are past the class's aim anyhow.
-	margin     = 50 * time.Millisecond
-	marginPart = 0.1 // and this share of the time that the client gives, at most
-	// backstop is how long after that the loop answers what the module has left unanswered.
+	// backstop is how long after its time the loop answers what the module has left unanswered, at most, and half of
+	// the time that was held back: the client's own time is not over then.
 	backstop = 10 * time.Millisecond
 )
 
@@ -24,6 +22,7 @@
 	event    forkline.Event // as the module hears of it
 	id       string         // its client's
 	wait     float64        // ms from its arrival in which it must be answered
+	held     float64        // ms from then until its client gives up
 	out      outgoing
 	reply    func(answer) // takes the one final answer
 	left     func() bool  // looks whether its client has left, whatever the loop has heard; nil = it never does
@@ -97,6 +96,7 @@
 	directory *directory
 	listed    map[uint32]bool // servers of the list, and whether they are ready
 	usable    int             // those that are
+	margin    margin
 }
 
 func newLoop(cfg *Config, up *upstream) (*loop, error) {
@@ -107,6 +107,7 @@
 		calls: map[uint32]*call{}, ids: map[string]*call{}, timer: time.NewTimer(time.Hour), armed: math.Inf(1),
 		directory: newDirectory(cfg.Site.Zones, cfg.Site.Kinds), listed: map[uint32]bool{},
 	}
+	l.margin.loop = l
 	set := cfg.Site.Settings
 	set.Limits.Probes = false // this sidecar sends none
 	set.Limits.ConnIdle = float64(up.idleLimit.Microseconds()) / 1000
@@ -173,6 +174,7 @@
 	}
 	for len(l.agenda) > 0 && l.agenda[0].at <= l.now() {
 		d := heap.Pop(&l.agenda).(*due)
+		l.margin.measured(deadline.Timer, d.at)
 		if d.call == nil {
 			l.handle(&forkline.Event{Kind: forkline.EvTimer, Token: d.token})
 		} else {
@@ -254,7 +256,7 @@
 // awaitEnd sets a call's backstop.
 func (l *loop) awaitEnd(c *call) {
 	if c.backstop == nil {
-		c.backstop = &due{at: c.event.Due + float64(backstop.Milliseconds()), call: c}
+		c.backstop = &due{at: c.event.Due + min(float64(backstop.Milliseconds()), c.held/2), call: c}
 		heap.Push(&l.agenda, c.backstop)
 	}
 }
@@ -291,8 +293,11 @@
 		if e != nil {
 			outcome, got = l.up.do(a, e, &c.out, l.time(until))
 		}
-		took := time.Since(sent)
-		l.post(func() { l.closed(c, number, server, outcome, got, took) })
+		ended := time.Now()
+		l.post(func() {
+			l.margin.measured(deadline.Taking, l.clock(ended))
+			l.closed(c, number, server, outcome, got, ended.Sub(sent))
+		})
 	}()
 }
 
