Never tell an endpoint more time than is left

Cause: X-Deadline was rounded to the next millisecond (upstream.go, exchange), so that up to 0.5 ms more was told than was left. The margin covered that, but for deadlines of a few milliseconds.

Change: it is cut to milliseconds.

Measured: TestTheToldDeadlineIsAtMostWhatIsLeft fails before with 1 ms told of 0.9 and 3 ms told of 2.9.

--- a/internal/sidecar/margin_test.go
+++ b/internal/sidecar/margin_test.go
@@ -144,6 +144,46 @@
 	})
 }
 
+// What an endpoint is told is at most what is left to the client, however that is written.
+func TestTheToldDeadlineIsAtMostWhatIsLeft(t *testing.T) {
+	socketless(t, func(t *testing.T, f *front) {
+		for _, idle := range []bool{false, true} {
+			if idle {
+				calls(t, f, 2*time.Second)
+			}
+			for _, deadline := range []string{"0.0001", "0.0009", "0.0029", "0.0127", "0.0506", "0.1", "0.6", "0.9999", "2.0004", "60"} {
+				for _, after := range []time.Duration{0, 300 * time.Microsecond, 17 * time.Millisecond, 700 * time.Millisecond} {
+					sent := time.Now()
+					k, _, complaint := f.parse(request(deadline))
+					if k == nil {
+						t.Fatal(complaint)
+					}
+					k.due(f.loop.clock(sent))
+					time.Sleep(after)
+					told := make(chan float64, 1)
+					here, there := net.Pipe()
+					go func() {
+						r, err := http.ReadRequest(bufio.NewReader(there))
+						if err == nil {
+							seconds, _ := strconv.ParseFloat(r.Header.Get("X-Deadline"), 64)
+							told <- seconds
+						}
+						close(told)
+						there.Close()
+					}()
+					exchange(newAttempt(time.Time{}), &conn{Conn: here, reader: bufio.NewReader(here)}, &k.out, f.loop.time(k.event.Due), 0)
+					here.Close()
+					asked, _ := strconv.ParseFloat(deadline, 64)
+					left := min(asked, 2.5) - time.Since(sent).Seconds()
+					if seconds, came := <-told; came && seconds > left || came != (f.loop.now() < k.event.Due) {
+						t.Errorf("idle %v, deadline %s s: %v s told %v after, sent %v", idle, deadline, seconds, after, came)
+					}
+				}
+			}
+		}
+	})
+}
+
 // What the module leaves unanswered is answered before the client's time is over, also where little is held back.
 func TestTheBackstopComesBeforeTheClientsTime(t *testing.T) {
 	socketless(t, func(t *testing.T, f *front) {
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -217,7 +217,8 @@
 	text.Grow(len(out.start) + len(out.body) + 512)
 	text.WriteString(out.start)
 	out.header.WriteSubset(&text, map[string]bool{"X-Deadline": true})
-	fmt.Fprintf(&text, "X-Deadline: %.3f\r\n", max(time.Until(until), 0).Seconds())
+	left := max(time.Until(until), 0).Truncate(time.Millisecond) // rounded up, it would tell more than there is
+	fmt.Fprintf(&text, "X-Deadline: %.3f\r\n", left.Seconds())
 	if len(out.body) > 0 || !strings.HasPrefix(out.start, "GET ") {
 		fmt.Fprintf(&text, "Content-Length: %d\r\n", len(out.body))
 	}
