Believe the measured delays of a sidecar that has few calls, too

Cause: 32 delays had to be measured, with none further apart than 5 s.

Change: 16 delays are enough, which are those of four or five calls, and a minute with none makes them void.

--- a/internal/deadline/deadline.go
+++ b/internal/deadline/deadline.go
@@ -11,10 +11,10 @@
 	Most     = 50.0
 	MostPart = 0.1
 
-	way      = 5    // for the way there and back, which nothing on this side can measure, and for work that no delay shows
-	enough   = 32   // measured delays, from which on they are believed
-	halfLife = 2000 // in which the memory of a delay halves
-	stale    = 5000 // what was measured longer ago says nothing about the core now
+	way      = 5     // for the way there and back, which nothing on this side can measure, and for work that no delay shows
+	enough   = 16    // measured delays, from which on they are believed: those of a few calls
+	halfLife = 2000  // in which the memory of a delay halves
+	stale    = 60000 // what was measured longer ago says nothing about the core now
 )
 
 // Part is a part of a request's way through a sidecar on which it may wait for the core. One that meets its deadline may
