Let settings change in a running copy, with what it learned and what is open

Cause: New alone read settings. A changed class, deadline, quota, limit or safety figure was in force only in a new Balancer, which has learned nothing and knows of no open request.

Reconfigure puts settings in force, all or none, and asks for actions as Handle does; New and it share configure. Servers, credits, loads, windows, ejections, ramps, the concurrency limit and the retry budget's window stay; mean latencies and served shares go by class name, buckets by tenant name. Mean ratios are turned into the unit of the new thresholds, as they are compared with later ones. Open requests keep their times. Their class is the one of that name; where that allows more repeats than the old one, or is gone, they get one of their own, which ends with them: a class that was unsafe in either file never runs twice. A request may have run in two groups before its class became keyed, so a repeat is now held to the groups of all attempts since the first that may have run; without a change that is one group, as before. A repeat that waits and is not allowed any more ends, as it would block the queue. Stage, Stages and ListOnRequest are refused by name.

What goes on under its name, and which of two rules is the stricter one, is in settings.go, outside of policy: no server, order or time is chosen there.

--- a/api.go
+++ b/api.go
@@ -19,7 +19,7 @@
 	Unsafe               // must never run twice
 )
 
-// Group is the set of servers that drop repeats of a keyed request.
+// Group is the set of servers that drop repeats of a keyed request. GroupZone|GroupCell is what is in both.
 type Group uint8
 
 // The groups of a keyed class.
--- a/balancer.go
+++ b/balancer.go
@@ -68,9 +68,8 @@
 // server is what this copy knows of one server, from its list and its own calls.
 type server struct {
 	ServerEntry
-	listed            bool
+	listed, asked     bool    // by the list; a probe is out
 	linked            bool    // it answered since a connection last failed
-	asked             bool    // a probe is out
 	held, heldAt      float64 // calls it holds, as it told a probe, and when
 	subsetShare       float64 // part of this server that is this copy's own
 	cold              bool
@@ -132,15 +131,14 @@
 	aimAt, due        float64
 	backAt            float64 // held back until then; 0 = not
 	readyAt           float64 // answers to its probes are waited for until then
-	asks              int     // times it asked
-	open              int
+	asks, open        int     // times it asked; attempts out
 	attempts          []attempt
 	firstRun          float64 // send time of the earliest attempt that may have run
-	runServer         *server // the server of that attempt
 }
 
 // classState is what this copy has learned of a class.
 type classState struct {
+	Class
 	threshold float64
 	latency   float64 // mean of good answers
 	share     float64 // of the calls that come
@@ -158,41 +156,35 @@
 	acts                      []Action
 	byID                      map[uint32]*server
 	live                      []*server // listed and ready, in the order heard of
-	asked                     int       // probes out
-	heldMean                  float64   // mean of what servers told
-	turn                      float64   // time a call takes for each call its server held, where probes tell
-	probing                   bool
+	asked, warm               int       // probes out; servers that are not cold
+	heldMean, turn            float64   // mean of what servers told; time that a call takes for each held
 	zoneServers               []*server // of the own zone, in the order in which all copies deal them out
 	requests                  map[uint32]*request
 	queue, spare              []*request
-	sweepAt                   float64 // when the first waiting call is to be given up
-	classes                   []classState
+	sweepAt                   float64      // when the first waiting call is to be given up
+	classes                   []classState // of the settings, then those that only open calls are still of
 	tenants                   []bucket
 	pool                      [poolSize]sample
 	pooled                    int
 	measured, ejections       int     // servers with a load of their own; those of them that are ejected
 	meanLoad                  float64 // mean load of those that are not
 	sends, arrivals           average
-	came                      float64 // calls, ever
-	warm                      int     // servers that are not cold
+	came, connLost            float64 // calls, ever; part of late attempts that found no connection
 	meanAim                   float64
 	taken, further            tally        // requests, and attempts that the retry budget counts
 	hedgeTimers               []hedgeTimer // of attempts of safe classes, the next one first
 	closing                   []*server    // draining, and to be closed once more
-	budgetTold                bool         // the site states the retry budget
+	budgetTold, probing       bool         // the site states the retry budget; probes are cheap
 	out                       int          // calls out at servers that are not ejected
 	concurrencyLimit          float64      // most calls out at once; 0 = not bounded yet
 	initialLimit              float64      // its start: the copies must not overrun an unmeasured tier
 	serving                   float64      // those the limit is for: ready, not ejected, a cold one in part
-	limitAt                   float64      // next revision of the concurrency limit
+	limitAt, leastFrom        float64      // next revision of the limit; the least mean counts from then
 	tierLatency, leastLatency float64      // mean ratio of answers and its least: they tell of waiting
-	leastFrom                 float64
-	connLost                  float64 // part of late attempts that found no connection
 	scratch                   []float64
 	silence                   float64 // time without an answer, with calls out, that is over threshold
-	wakeAt                    float64 // when the pending timer is due; 0 = none
+	wakeAt, askAt             float64 // when the pending timer is due, and the list is to be asked; 0 = not
 	timer                     uint64  // its number
-	askAt                     float64 // when the list is to be asked; 0 = not
 	backoff                   float64
 }
 
@@ -202,34 +194,60 @@
 		return nil, fmt.Errorf("forkline: %w", err)
 	}
 	b := &Balancer{
-		set: set, rng: seed ^ 0x9e3779b97f4a7c15, now: now, sweepAt: math.Inf(1), leastLatency: math.Inf(1),
+		rng: seed ^ 0x9e3779b97f4a7c15, now: now, sweepAt: math.Inf(1), leastLatency: math.Inf(1),
 		byID: map[uint32]*server{}, requests: map[uint32]*request{},
 	}
-	if f := &b.set.Safety; f.BudgetWindow > 0 {
-		b.budgetTold = true
-	} else {
+	b.configure(set)
+	if set.ListOnRequest {
+		b.backoff = askBackoff
+		b.askAt = now + b.random()*askSpread*set.Safety.AskEvery
+	}
+	b.leastFrom = now + 2*b.silence
+	return b, nil
+}
+
+// configure puts settings in force; what was learned under names that they keep goes on.
+func (b *Balancer) configure(set Settings) {
+	old, f := *b, &b.set.Safety
+	b.set, b.classes, b.tenants, b.silence, b.meanAim = set, nil, nil, 0, 0
+	if b.budgetTold = f.BudgetWindow > 0; !b.budgetTold {
 		f.BudgetFree, f.BudgetShare, f.BudgetWindow = repeatFree, repeatShare, repeatWindow
 	}
+	n := float64(len(set.Classes))
 	for _, c := range set.Classes {
-		state := classState{threshold: c.Aim * thresholdPart, share: 1 / float64(len(set.Classes)), served: 1}
+		state := classState{Class: c, threshold: c.Aim * thresholdPart, share: 1 / n, served: 1}
 		state.threshold *= float64(set.Stages-set.Stage) / float64(set.Stages) // the tiers still ahead
 		b.classes = append(b.classes, state)
 		b.silence = max(b.silence, state.threshold)
-		b.meanAim += c.Aim / float64(len(set.Classes))
+		b.meanAim += c.Aim / n
 	}
 	cheap := set.ProbePrice*probeCount*float64(set.Stages) <= probePrice
 	b.probing = set.Limits.Probes && set.HeldField > 0 && cheap
 	for _, t := range set.Tenants {
 		rate := t.Quota / float64(set.Copies)
 		most := max(rate*quotaBurst/1000, 1)
-		b.tenants = append(b.tenants, bucket{tokens: most, at: now, rate: rate, most: most})
+		b.tenants = append(b.tenants, bucket{tokens: most, at: b.now, rate: rate, most: most})
 	}
-	if set.ListOnRequest {
-		b.backoff = askBackoff
-		b.askAt = now + b.random()*askSpread*set.Safety.AskEvery
+	b.carryOver(&old)
+}
+
+// Reconfigure puts other settings in force: all of them or, with an error, none. What was learned stays. Open
+// calls keep their times, and are repeated only as far as old and new rules allow. Actions are as Handle's.
+func (b *Balancer) Reconfigure(now float64, set Settings, actions []Action) ([]Action, error) {
+	if err := cmp.Or(set.check(), set.follows(&b.set)); err != nil {
+		return actions, fmt.Errorf("forkline: %w", err)
 	}
-	b.leastFrom = now + 2*b.silence
-	return b, nil
+	b.now, b.acts = later(b.now, now), actions
+	b.configure(set)
+	for _, s := range b.byID {
+		if s.cold {
+			s.ramp.place = newRamp(&b.set, &s.ServerEntry, 0).place
+		}
+		b.closeIdle(s)
+	}
+	b.dealOut()
+	b.sweepAt = b.now
+	return b.Handle(now, &Event{}, b.acts), nil
 }
 
 // Handle takes one event and appends the actions that answer it.
@@ -280,18 +298,18 @@
 
 // arrive takes a new call: it is queued, or ended at once when the queue is full for it.
 func (b *Balancer) arrive(ev *Event) {
-	if b.requests[ev.Request] != nil || int(ev.Class) >= len(b.classes) {
+	if b.requests[ev.Request] != nil || int(ev.Class) >= len(b.set.Classes) {
 		return
 	}
 	q := b.newRequest()
 	q.id, q.class, q.tenant, q.due = ev.Request, ev.Class, ev.Tenant, ev.Due
-	c := &b.set.Classes[q.class]
+	c := &b.classes[q.class]
 	q.aimAt = b.now + min(c.GiveUp, c.Aim+c.AimStretch*ev.Hint)
 	if b.set.Stage > 0 && c.LateWorth == 0 {
 		q.due = min(q.due, q.aimAt) // past the aim its caller's answer is worth nothing, but holds a slot
 	}
 	b.requests[q.id] = q
-	for i := range b.classes {
+	for i := range b.set.Classes {
 		b.classes[i].share -= servedGain * b.classes[i].share
 	}
 	b.classes[q.class].share += servedGain
@@ -344,7 +362,7 @@
 // class's, so that cheap calls are refused first while the order stays first-in.
 func (b *Balancer) valueShare(q *request, over bool) float64 {
 	best := 0.0
-	for i := range b.classes {
+	for i := range b.set.Classes {
 		best = max(best, b.value(i))
 	}
 	share := b.value(int(q.class)) / max(best, 1e-9)
@@ -357,26 +375,26 @@
 // value is what a call of a class adds to the goal for each unit of work; the aim stands in till that is
 // measured. Where the goal counts the worst-served class by itself, a call of that class adds to that too.
 func (b *Balancer) value(class int) float64 {
-	c, state := &b.set.Classes[class], &b.classes[class]
+	c := &b.classes[class]
 	worth := c.Worth
 	if b.set.Stage == 0 && b.worstServed() == class {
 		mean := 0.0
-		for i := range b.classes {
-			mean += b.classes[i].share * b.set.Classes[i].Worth
+		for i := range b.set.Classes {
+			mean += b.classes[i].share * b.classes[i].Worth
 		}
-		worth += b.set.WorstClass * mean / max(state.share, latencyGain)
+		worth += b.set.WorstClass * mean / max(c.share, latencyGain)
 	}
-	if b.set.WorthByWork || state.latency == 0 {
+	if b.set.WorthByWork || c.latency == 0 {
 		return worth / c.Aim
 	}
-	return worth / state.latency
+	return worth / c.latency
 }
 
 // worstServed is the class of which the smallest part is served within its aim; -1 if there is just one.
 func (b *Balancer) worstServed() int {
 	worst := -1
-	for i := range b.classes {
-		if len(b.classes) > 1 && (worst < 0 || b.classes[i].served < b.classes[worst].served) {
+	for i := range b.set.Classes {
+		if len(b.set.Classes) > 1 && (worst < 0 || b.classes[i].served < b.classes[worst].served) {
 			worst = i
 		}
 	}
@@ -389,8 +407,7 @@
 		return false
 	}
 	t := &b.tenants[q.tenant]
-	t.tokens = min(t.most, t.tokens+(b.now-t.at)/1000*t.rate)
-	t.at = b.now
+	t.tokens, t.at = min(t.most, t.tokens+(b.now-t.at)/1000*t.rate), b.now
 	if t.tokens < 1 {
 		return true
 	}
@@ -408,18 +425,15 @@
 	}
 	taken := 0
 	for _, q := range b.queue {
-		if !q.ended && !b.mayTry(q) {
-			b.end(q) // the retry budget was used up while it waited
+		if !q.ended && (!b.mayTry(q) || q.mayRun && b.classes[q.class].Effect != Safe) {
+			b.end(q) // while it waited, the retry budget was used up or its class has changed
 		}
 		if !q.ended {
 			if q.backAt > 0 && b.now >= q.backAt {
 				q.backAt = 0
 				b.probe(q) // held back before: old figures must not let it go blind
 			}
-			crowded := b.set.Stage == 0 && float64(b.out) >= b.concurrencyLimit
-			if crowded && b.findSilent() {
-				crowded = float64(b.out) >= b.concurrencyLimit
-			}
+			crowded := b.crowded() && (!b.findSilent() || b.crowded())
 			if crowded || b.now < q.backAt || b.asked > 0 && b.now < q.readyAt {
 				break
 			}
@@ -436,6 +450,8 @@
 	}
 }
 
+func (b *Balancer) crowded() bool { return b.set.Stage == 0 && float64(b.out) >= b.concurrencyLimit }
+
 // sweep ends every waiting call that cannot be answered usefully any more, also behind the head.
 func (b *Balancer) sweep() {
 	b.sweepAt = math.Inf(1)
@@ -460,7 +476,7 @@
 	if b.set.Stage == 0 {
 		until = min(until, q.aimAt)
 	}
-	return until - min(b.classes[q.class].latency, thresholdPart*b.set.Classes[q.class].Aim)
+	return until - min(b.classes[q.class].latency, thresholdPart*b.classes[q.class].Aim)
 }
 
 // choose returns the server with most credit left that the call may go to, or nil.
@@ -481,7 +497,7 @@
 		}
 		// Of like servers the quicker one.
 		rank := left/most - latencyWeight*s.expected()/max(b.tierLatency, 1e-9)
-		if s.ejected && b.set.Classes[q.class].Effect == Safe {
+		if s.ejected && b.classes[q.class].Effect == Safe {
 			rank += 50 // a trial call: its floor is small, and without one it never returns
 		} else if b.told(s) {
 			rank += 1000 - 10*(s.held+s.run) // each failure in a run weighs like a call held
@@ -567,7 +583,7 @@
 		b.setHedge(hedgeTimer{b.now + wait, q.id, uint16(len(q.attempts) - 1)})
 	}
 	act := Action{Kind: ActSend, Request: q.id, Server: s.Server, Until: q.due}
-	if c := &b.set.Classes[q.class]; q.mayRun && c.Effect == Keyed {
+	if c := &b.classes[q.class]; q.mayRun && c.Effect == Keyed {
 		act.Begin = q.firstRun + c.Window // a slow connection must not carry a repeat past it
 	}
 	b.acts = append(b.acts, act)
@@ -577,7 +593,7 @@
 // tryTimeout is how long a call waits for a server that says nothing; 0 = to its end. An inner copy hears of
 // each server too seldom to tell, but for an ejected one; a call that may not run twice is not sent twice.
 func (b *Balancer) tryTimeout(q *request, s *server) float64 {
-	if b.set.Stage > 0 && !s.ejected || !b.set.Limits.Cancel || b.set.Classes[q.class].Effect != Safe {
+	if b.set.Stage > 0 && !s.ejected || !b.set.Limits.Cancel || b.classes[q.class].Effect != Safe {
 		return 0
 	}
 	return tryTimeoutMeans * b.classes[q.class].latency
@@ -601,9 +617,10 @@
 			continue
 		}
 		a := &q.attempts[d.attempt]
-		if at := max(a.sentAt, a.server.heard) + b.tryTimeout(q, a.server); at > b.now {
+		wait := b.tryTimeout(q, a.server) // 0 if its class has changed
+		if at := max(a.sentAt, a.server.heard) + wait; at > b.now {
 			b.setHedge(hedgeTimer{at, d.request, d.attempt})
-		} else if b.now < b.lastStart(q) && len(q.attempts) < b.set.Limits.MaxAttempts {
+		} else if wait > 0 && b.now < b.lastStart(q) && len(q.attempts) < b.set.Limits.MaxAttempts {
 			a.silent = true
 			b.acts = append(b.acts, Action{Kind: ActCancel, Request: q.id, Attempt: d.attempt})
 		}
@@ -617,14 +634,10 @@
 // any: their calls may stay out till they time out, and would leave none for idle servers. Till one is
 // heard of again it gets one call at a time. Where none else serves the cause is shared, and all stay in.
 func (b *Balancer) findSilent() bool {
-	found, serving := false, 0
+	found := false
+	serving := slices.ContainsFunc(b.live, func(s *server) bool { return s.serves() && !b.overdue(s) })
 	for _, s := range b.live {
-		if s.serves() && !b.overdue(s) {
-			serving++
-		}
-	}
-	for _, s := range b.live {
-		if serving > 0 && s.serves() && b.overdue(s) {
+		if serving && s.serves() && b.overdue(s) {
 			s.silent, found = true, true
 		}
 	}
@@ -701,20 +714,21 @@
 	if !s.ready() || s.cold && s.credit < 1 {
 		return false
 	}
-	c := &b.set.Classes[q.class]
+	c := &b.classes[q.class]
 	if !q.mayRun || c.Effect == Safe {
 		return true
 	}
-	return c.Effect == Keyed && b.now < q.firstRun+c.Window && sameGroup(c.Group, q.runServer, s)
+	outside := func(a attempt) bool { return a.sentAt >= q.firstRun && !sameGroup(c.Group, a.server, s) }
+	return c.Effect == Keyed && b.now < q.firstRun+c.Window && !slices.ContainsFunc(q.attempts, outside)
 }
 
 func sameGroup(g Group, a, s *server) bool {
-	return g == GroupAll || g == GroupZone && a.Zone == s.Zone || g == GroupCell && a.Cell == s.Cell
+	return (g&GroupZone == 0 || a.Zone == s.Zone) && (g&GroupCell == 0 || a.Cell == s.Cell)
 }
 
 // end is the one way to a final answer of our own: refused where a repeat is harmless, else failed.
 func (b *Balancer) end(q *request) {
-	c := &b.set.Classes[q.class]
+	c := &b.classes[q.class]
 	harmless := c.Effect == Safe || q.open == 0 && !q.mayRun || c.Effect == Keyed && c.Group == GroupAll
 	kind := ActFail
 	if harmless {
@@ -801,17 +815,15 @@
 	}
 	neverRan := ev.Outcome == Full || ev.Outcome == ConnectFailed || ev.Outcome == NotSent
 	if !neverRan && !q.mayRun { // attempts follow each other, so the first that may have run is the earliest
-		q.mayRun, q.firstRun, q.runServer = true, a.sentAt, a.server
-	}
-	if ev.Outcome == OK && b.now <= q.aimAt {
-		q.inTime = true
+		q.mayRun, q.firstRun = true, a.sentAt
 	}
+	q.inTime = q.inTime || ev.Outcome == OK && b.now <= q.aimAt
 	switch {
 	case q.ended || ev.Done || ev.Outcome == OK:
 		b.forget(q)
 	case b.now >= b.lastStart(q):
 		b.end(q)
-	case b.mayTry(q) && (!q.mayRun || b.set.Classes[q.class].Effect == Safe):
+	case b.mayTry(q) && (!q.mayRun || b.classes[q.class].Effect == Safe):
 		b.enqueue(q, 0)
 	default: // it may have run: once more only where the rules allow, and at once, not to block the head
 		if s := b.choose(q); s == nil || !b.send(q, s) {
@@ -831,9 +843,7 @@
 		gain := max(2*latencyGain, 1/float64(s.count+1))
 		s.meanLatency += gain * (min(ratio, failRatio) - s.meanLatency)
 		s.meanConcurrency += gain * (float64(s.out+1) - s.meanConcurrency)
-		if c.latency == 0 {
-			c.latency = took
-		}
+		c.latency = cmp.Or(c.latency, took)
 		c.latency += latencyGain * (took - c.latency)
 		b.tierLatency += max(latencyGain, 1/float64(b.pooled+1)) * (min(ratio, failRatio) - b.tierLatency)
 		if b.now > b.leastFrom { // the first answers are the quick ones
@@ -860,18 +870,14 @@
 		}
 		return
 	}
-	s.goods = 0
-	s.run++
+	s.goods, s.run = 0, s.run+1
 	more := float64(b.ejections+1) <= max(1, sharedPart*float64(len(b.live)))
 	if s.run > runLimit && !s.ejected && s.ready() && more {
-		s.ejected, s.measured = true, true
-		s.load = b.floor()
+		s.ejected, s.measured, s.load = true, true, b.floor()
 		b.recount()
 	}
 }
 
-// --- Credit.
-
 // accrue refills a server's credit for the time gone by and returns its most.
 func (b *Balancer) accrue(s *server) float64 {
 	load := b.loadOf(s)
@@ -1091,12 +1097,9 @@
 	})
 	// Servers come and go for as long as a copy runs: what is gone for good must not be kept.
 	maps.DeleteFunc(b.byID, func(_ uint32, s *server) bool { return !s.listed && s.out == 0 && !s.asked })
-	b.recount()
-	b.initialLimit = max(heldLeast, heldFirst*float64(len(b.live))/float64(b.set.Copies))
-	if b.concurrencyLimit == 0 {
+	if b.dealOut(); b.concurrencyLimit == 0 {
 		b.limitAt = b.now // calls that came ahead of the first list must not wait for the next revision
 	}
-	b.assignSubset()
 }
 
 // closeIdle closes the idle connections to a server that drains: on the notice, after each outcome and probe
@@ -1116,20 +1119,21 @@
 // closeAgain does so for those whose time has come, give or take what a host rounds off a timer.
 func (b *Balancer) closeAgain() {
 	b.closing = slices.DeleteFunc(b.closing, func(s *server) bool {
-		due := b.now >= s.closeAt-1
-		if due {
-			s.closeAt = 0
+		if b.now < s.closeAt-1 {
+			return false
 		}
-		if due && !s.ready() {
+		if s.closeAt = 0; !s.ready() {
 			b.acts = append(b.acts, Action{Kind: ActClose, Server: s.Server})
 		}
-		return due
+		return true
 	})
 }
 
-// assignSubset deals the zone's servers out over the copies: an even stretch each of one order that all know.
+// dealOut deals the zone's servers out over the copies: an even stretch each of one order that all know.
 // A copy sees only its own calls, so without this each server is loaded by chance.
-func (b *Balancer) assignSubset() {
+func (b *Balancer) dealOut() {
+	b.recount()
+	b.initialLimit = max(heldLeast, heldFirst*float64(len(b.live))/float64(b.set.Copies))
 	zones := 1
 	b.zoneServers = b.zoneServers[:0]
 	for _, s := range b.live {
@@ -1178,17 +1182,14 @@
 		b.askAt = 0
 		b.acts = append(b.acts, Action{Kind: ActWatch})
 	}
-	at := b.askAt
+	at := cmp.Or(b.askAt, math.Inf(1))
 	if len(b.queue) > 0 {
-		next := max(b.now+wakeLeast, min(b.sweepAt, b.now+wakeMost))
-		if at == 0 || next < at {
-			at = next
-		}
+		at = min(at, max(b.now+wakeLeast, min(b.sweepAt, b.now+wakeMost)))
 	}
-	if len(b.hedgeTimers) > 0 && (at == 0 || b.hedgeTimers[0].at < at) {
-		at = b.hedgeTimers[0].at
+	if len(b.hedgeTimers) > 0 {
+		at = min(at, b.hedgeTimers[0].at)
 	}
-	if at == 0 || b.wakeAt != 0 && b.wakeAt <= at {
+	if math.IsInf(at, 1) || b.wakeAt != 0 && b.wakeAt <= at {
 		return
 	}
 	b.wakeAt, b.timer = at, b.timer+1
--- /dev/null
+++ b/settings.go
@@ -0,0 +1,88 @@
+package forkline
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+)
+
+// What goes on across a change of the settings is here. Nothing is chosen: what was learned, and what is open, keeps its
+// name, and of two rules the stricter one counts. What may be sent is decided in balancer.go.
+
+// follows names the first setting that cannot take the place of that of a running copy.
+func (set *Settings) follows(old *Settings) error {
+	for _, s := range [...]struct {
+		name    string
+		was, is any
+	}{
+		{"Stage", old.Stage, set.Stage}, {"Stages", old.Stages, set.Stages}, // another tier
+		{"ListOnRequest", old.ListOnRequest, set.ListOnRequest},
+	} {
+		if s.was != s.is {
+			return fmt.Errorf("%s cannot change from %v to %v in a running copy", s.name, s.was, s.is)
+		}
+	}
+	return nil
+}
+
+// stricter is the class with its rules on repeats cut down to what another one allows too.
+func (c Class) stricter(o *Class) Class {
+	switch {
+	case c.Effect == Keyed && o.Effect == Keyed:
+		c.Window, c.Group = min(c.Window, o.Window), c.Group|o.Group
+	case c.Effect < o.Effect:
+		c.Effect, c.Window, c.Group = o.Effect, o.Window, o.Group
+	}
+	return c
+}
+
+// carryOver takes over what the settings of before have left, under the names of these.
+func (b *Balancer) carryOver(old *Balancer) {
+	was, is := 0.0, 0.0
+	for i := range b.classes {
+		c := &b.classes[i]
+		if n := slices.IndexFunc(old.classes, func(o classState) bool { return o.Name == c.Name }); n >= 0 {
+			o := &old.classes[n]
+			c.latency, c.share, c.served = o.latency, o.share, o.served
+			was += c.share * c.latency / o.threshold
+			is += c.share * c.latency / c.threshold
+		}
+	}
+	if was > 0 { // the mean ratios, as if the thresholds had always been these: they are compared with later ones
+		b.tierLatency, b.leastLatency = b.tierLatency*is/was, b.leastLatency*is/was
+		for _, s := range b.byID {
+			s.meanLatency *= is / was
+		}
+	}
+	for i, t := range b.set.Tenants {
+		n := slices.IndexFunc(old.set.Tenants, func(o Tenant) bool { return o.Name == t.Name })
+		if n >= 0 && old.tenants[n].rate > 0 {
+			o := &old.tenants[n]
+			b.tenants[i].tokens = min(o.tokens+(b.now-o.at)/1000*o.rate, o.most, b.tenants[i].most)
+		}
+	}
+	classes := map[uint16]uint16{} // those of before that are open, by number, and what goes on in their place
+	for _, id := range slices.Sorted(maps.Keys(b.requests)) {
+		q := b.requests[id]
+		if _, ok := classes[q.class]; !ok {
+			classes[q.class] = b.successor(&old.classes[q.class])
+		}
+		q.class = classes[q.class]
+	}
+}
+
+// successor is the number of the class in which open requests of one of before go on: that of its name if it allows
+// no more than the old one, else one of their own, which ends with them.
+func (b *Balancer) successor(old *classState) uint16 {
+	state := *old
+	n := slices.IndexFunc(b.set.Classes, func(c Class) bool { return c.Name == old.Name })
+	if n >= 0 {
+		state = b.classes[n]
+		state.Class = state.stricter(&old.Class)
+		if state.Class == b.classes[n].Class {
+			return uint16(n)
+		}
+	}
+	b.classes = append(b.classes, state)
+	return uint16(len(b.classes) - 1)
+}
