Put settings in force at SIGHUP, with nothing lost

Cause: reload in cmd/forkline took the address of discovery out of the new file and left the rest for the next start. Nothing else of it was ever in force in a running sidecar.

Reload puts the whole file in force between two events of the loop: the module's settings, the tables of classes and tenants, zones and kinds with the list told anew by the new numbers, limits of connections, the drain's length. A request that was read by the old tables and comes to the loop after the change is taken by name, or told 404, 405 or 400 as if it had come later. Open requests keep their answers' times; in one that is out "safe" and "must run once" become the stricter of both files, also for a request that comes again while its first copy is called off. Where zones get other numbers, what may have run in a zone is not repeated: the server may be gone from the list and known by its old number only. Settings that are equal do not reach the loop. What is refused changes nothing, discovery's address included; listen, name, seed and limits.sockets stay until the next start and are named in one line. memory_mb is followed. The loop waits for no lock of a change.

A line tells when settings are in force, with the hash of their text (FNV of the standard library: the sidecar links that alone, and builds without any download) and the time since the signal.

A uid's last entry is kept for the list that is told anew: some 200 bytes for each server listed, by count of its fields, not measured.

Each part was taken out and seen by a test, among them the taking by name, the stricter rule in flight and between copies, the list told anew, repeats by old zone numbers, the drain's length, idle connections over a shorter limit. TestHangupMovesDiscovery and its cases are as they were.

--- a/cmd/forkline/config.go
+++ b/cmd/forkline/config.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"encoding/json"
 	"fmt"
+	"hash/fnv"
 	"net"
 	"os"
 	"strconv"
@@ -64,6 +65,9 @@
 	if cfg.Site, err = wire.ParseSite(f.Settings); err != nil {
 		return cfg, fmt.Errorf("%s: %w", path, err)
 	}
+	sum := fnv.New64a()
+	sum.Write(f.Settings) // never fails
+	cfg.Hash = sum.Sum64()
 	if len(f.Known) > 0 {
 		if cfg.Known, err = sidecar.ParseList(f.Known); err != nil {
 			return cfg, fmt.Errorf("%s: known: %w", path, err)
--- a/cmd/forkline/main.go
+++ b/cmd/forkline/main.go
@@ -11,6 +11,7 @@
 	"runtime"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"forkline/internal/sidecar"
 )
@@ -34,7 +35,7 @@
 		return err
 	}
 	runtime.GOMAXPROCS(1) // one core is all a sidecar has
-	debug.SetMemoryLimit(int64(memoryPart * float64(cfg.MemoryMB) * (1 << 20)))
+	limitMemory(cfg.MemoryMB)
 	slog.SetDefault(slog.With("name", cfg.Name))
 
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
@@ -51,13 +52,20 @@
 	return s.Run(ctx)
 }
 
-// reload reads the configuration anew for where discovery is now; the rest counts from the next start on.
-// A file that cannot be used changes nothing.
+// reload reads the configuration anew and puts it in force. One that cannot be used changes nothing.
 func reload(s *sidecar.Sidecar) {
+	signalled := time.Now()
 	cfg, err := load(os.Getenv)
+	if err == nil {
+		cfg.Signalled = signalled
+		err = s.Reload(cfg)
+	}
 	if err != nil {
 		slog.Error("configuration kept", "err", err)
 		return
 	}
-	s.Move(cfg.Discovery)
+	limitMemory(cfg.MemoryMB)
 }
+
+// limitMemory has the Go runtime keep to its share of a limit.
+func limitMemory(mb int) { debug.SetMemoryLimit(int64(memoryPart * float64(mb) * (1 << 20))) }
--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -93,10 +93,11 @@
 	zones, kinds []string
 	ids          map[string]uint32
 	taken        map[uint32]string
+	told         map[uint32]Target // last, of each server that is listed
 }
 
 func newDirectory(zones, kinds []string) *directory {
-	return &directory{zones: zones, kinds: kinds, ids: map[string]uint32{}, taken: map[uint32]string{}}
+	return &directory{zones: zones, kinds: kinds, ids: map[string]uint32{}, taken: map[uint32]string{}, told: map[uint32]Target{}}
 }
 
 func (d *directory) id(uid string) uint32 {
@@ -119,8 +120,10 @@
 	if zone < 0 {
 		zone = min(len(d.zones), 255)
 	}
+	id := d.id(t.UID)
+	d.told[id] = *t
 	return forkline.ServerEntry{
-		Server: d.id(t.UID), Zone: uint8(zone), Kind: uint16(max(kind, 0)), Cell: t.Cell,
+		Server: id, Zone: uint8(zone), Kind: uint16(max(kind, 0)), Cell: t.Cell,
 		State: states[t.State], Weight: t.Weight, Started: t.BootMS,
 	}
 }
@@ -131,6 +134,7 @@
 		if !listed(id) {
 			delete(d.ids, uid)
 			delete(d.taken, id)
+			delete(d.told, id)
 		}
 	}
 }
--- a/internal/sidecar/front.go
+++ b/internal/sidecar/front.go
@@ -30,9 +30,7 @@
 // front takes requests from callers and answers them.
 type front struct {
 	loop       *loop
-	set        *forkline.Settings
-	classes    map[string]uint16
-	tenants    map[string]uint16
+	tables     atomic.Pointer[tables]
 	downstream *downstream
 	draining   atomic.Bool   // not ready any more
 	ending     atomic.Bool   // every answer closes its connection
@@ -40,18 +38,62 @@
 	quiet      time.Duration // see quietTime
 }
 
-// newFront makes a front for at most so many callers' connections.
-func newFront(l *loop, set *forkline.Settings, most int) *front {
-	f := &front{
-		loop: l, set: set, classes: map[string]uint16{}, tenants: map[string]uint16{}, accept: acceptTime,
-		quiet: quietTime, downstream: newDownstream(most),
-	}
+// tables are the settings as requests meet them: by names. They are replaced whole.
+type tables struct {
+	set     forkline.Settings
+	classes map[string]uint16
+	tenants map[string]uint16
+}
+
+func newTables(set *forkline.Settings) *tables {
+	t := &tables{set: *set, classes: map[string]uint16{}, tenants: map[string]uint16{}}
 	for i, c := range set.Classes {
-		f.classes[c.Name] = uint16(i)
+		t.classes[c.Name] = uint16(i)
 	}
-	for i, t := range set.Tenants {
-		f.tenants[t.Name] = uint16(i)
+	for i, tenant := range set.Tenants {
+		t.tenants[tenant.Name] = uint16(i)
 	}
+	return t
+}
+
+// class is the class of a name; of a request that cannot be of it, it tells why.
+func (t *tables) class(name, method string, keyed bool) (c *forkline.Class, status int, complaint string) {
+	index, ok := t.classes[name]
+	if !ok {
+		return nil, http.StatusNotFound, "X-Class and the path name no class"
+	}
+	c = &t.set.Classes[index]
+	want := http.MethodPost
+	if c.Effect == forkline.Safe {
+		want = http.MethodGet
+	}
+	switch {
+	case method != want:
+		return nil, http.StatusMethodNotAllowed, "requests of this class are " + want
+	case c.Effect == forkline.Keyed && !keyed:
+		return nil, http.StatusBadRequest, "Idempotency-Key is missing"
+	}
+	return c, 0, ""
+}
+
+// place gives a call what the tables say of its class and tenant.
+func (t *tables) place(k *call) {
+	k.tables, k.event.Class = t, t.classes[k.class]
+	tenant, ok := t.tenants[k.tenant]
+	if !ok {
+		tenant = uint16(len(t.tenants)) // one without a quota
+	}
+	k.event.Tenant = tenant
+	c := &t.set.Classes[k.event.Class]
+	wait := min(c.GiveUp/1000, k.patience)
+	k.wait = 1000*wait - min(float64(margin.Milliseconds()), 1000*marginPart*wait)
+	k.safe, k.out.once = c.Effect == forkline.Safe, c.Effect == forkline.Unsafe
+}
+
+// newFront makes a front for at most so many callers' connections.
+func newFront(l *loop, set *forkline.Settings, most int) *front {
+	f := &front{loop: l, accept: acceptTime, quiet: quietTime, downstream: newDownstream(most)}
+	f.tables.Store(newTables(set))
 	return f
 }
 
@@ -178,46 +220,34 @@
 			return nil, http.StatusBadRequest, name + " comes twice"
 		}
 	}
-	name := h.Get("X-Class")
-	index, ok := f.classes[name]
-	if !ok || first != name && decoded != name {
+	name, keyed, tables := h.Get("X-Class"), h.Get("Idempotency-Key") != "", f.tables.Load()
+	if first != name && decoded != name {
 		return nil, http.StatusNotFound, "X-Class and the path name no class"
 	}
-	class := &f.set.Classes[index]
-	want := http.MethodPost
-	if class.Effect == forkline.Safe {
-		want = http.MethodGet
+	if class, status, complaint := tables.class(name, method, keyed); class == nil {
+		return nil, status, complaint
 	}
 	switch {
-	case method != want:
-		return nil, http.StatusMethodNotAllowed, "requests of this class are " + want
-	case class.Effect == forkline.Keyed && h.Get("Idempotency-Key") == "":
-		return nil, http.StatusBadRequest, "Idempotency-Key is missing"
 	case h.Get("X-Request-Id") == "":
 		return nil, http.StatusBadRequest, "X-Request-Id is missing"
 	case m.length > maxBody:
 		return nil, http.StatusRequestEntityTooLarge, "the body is over 64 KiB"
 	}
-	wait := class.GiveUp / 1000
+	patience := math.Inf(1)
 	if text := h.Get("X-Deadline"); text != "" {
 		left, err := strconv.ParseFloat(text, 64)
 		if err != nil || !(left > 0) || math.IsInf(left, 0) {
 			return nil, http.StatusBadRequest, "X-Deadline is no time"
 		}
-		wait = min(wait, left)
+		patience = left
 	}
 	hint, err := strconv.ParseFloat(h.Get("X-Cost-Hint"), 64)
 	if err != nil {
 		hint = 0
 	}
-	tenant, ok := f.tenants[h.Get("X-Tenant")]
-	if !ok {
-		tenant = uint16(len(f.tenants)) // one without a quota
-	}
 	k = &call{
-		event: forkline.Event{Class: index, Tenant: tenant, Hint: hint / 1000},
-		wait:  1000*wait - min(float64(margin.Milliseconds()), 1000*marginPart*wait),
-		id:    h.Get("X-Request-Id"), safe: class.Effect == forkline.Safe,
+		event: forkline.Event{Hint: hint / 1000}, id: h.Get("X-Request-Id"),
+		class: name, tenant: h.Get("X-Tenant"), method: method, keyed: keyed, patience: patience,
 	}
 	if cookie, err := (&http.Request{Header: h}).Cookie("obj"); err == nil {
 		sum := fnv.New64a()
@@ -226,8 +256,9 @@
 	}
 	k.out = outgoing{
 		start:  fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\n", method, uri, h.Get("Host")),
-		header: endToEnd(h), once: class.Effect == forkline.Unsafe,
+		header: endToEnd(h),
 	}
+	tables.place(k)
 	h.Del("Host")
 	return k, 0, ""
 }
@@ -236,7 +267,7 @@
 // that the slow calls have time to end. A sidecar that is alone goes on: what it does not take is lost for sure until
 // it has started again, and most calls that it takes are still answered.
 func (f *front) finishing() time.Duration {
-	if f.set.Copies > 1 {
+	if f.tables.Load().set.Copies > 1 {
 		return finishTime
 	}
 	return aloneTime
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -23,7 +23,13 @@
 type call struct {
 	event    forkline.Event // as the module hears of it
 	id       string         // its client's
-	wait     float64        // ms from its arrival in which it must be answered
+	class    string         // these six are what it asks for; the tables are those that it was placed by
+	tenant   string
+	method   string
+	keyed    bool
+	patience float64 // s that its client waits
+	tables   *tables
+	wait     float64 // ms from its arrival in which it must be answered
 	out      outgoing
 	reply    func(answer) // takes the one final answer
 	left     func() bool  // looks whether its client has left, whatever the loop has heard; nil = it never does
@@ -90,6 +96,7 @@
 	again     []*call          // over now; each has been asked for again meanwhile
 	over      bool             // all is given up
 	known     *List            // the list of before, until the first one comes
+	tables    *tables          // put in force by a reload; nil = those of the start
 	lastID    uint32
 	agenda    agenda
 	timer     *time.Timer
@@ -107,18 +114,22 @@
 		calls: map[uint32]*call{}, ids: map[string]*call{}, timer: time.NewTimer(time.Hour), armed: math.Inf(1),
 		directory: newDirectory(cfg.Site.Zones, cfg.Site.Kinds), listed: map[uint32]bool{},
 	}
-	set := cfg.Site.Settings
-	set.Limits.Probes = false // this sidecar sends none
-	set.Limits.ConnIdle = float64(up.idleLimit.Microseconds()) / 1000
-	if set.Limits.MaxOpen == 0 || set.Limits.MaxOpen > up.most {
-		set.Limits.MaxOpen = up.most // each open request may need a connection
-	}
-	l.comeBack = millis(set.Limits.ComeBack())
+	l.comeBack = millis(cfg.Site.Settings.Limits.ComeBack())
 	var err error
-	l.balancer, err = forkline.New(set, cfg.Seed, l.now())
+	l.balancer, err = forkline.New(l.settings(cfg.Site.Settings), cfg.Seed, l.now())
 	return l, err
 }
 
+// settings are those that the module is told.
+func (l *loop) settings(set forkline.Settings) forkline.Settings {
+	set.Limits.Probes = false // this sidecar sends none
+	set.Limits.ConnIdle = float64(idleLimit(set.Limits).Microseconds()) / 1000
+	if set.Limits.MaxOpen == 0 || set.Limits.MaxOpen > l.up.most {
+		set.Limits.MaxOpen = l.up.most // each open request may need a connection
+	}
+	return set
+}
+
 // post has the loop run f, unless it has ended; it waits while the loop is behind.
 func (l *loop) post(f func()) {
 	select {
@@ -184,6 +195,10 @@
 // handle gives the module an event and carries its actions out.
 func (l *loop) handle(ev *forkline.Event) {
 	l.actions = l.balancer.Handle(l.now(), ev, l.actions[:0])
+	l.carryOutAll()
+}
+
+func (l *loop) carryOutAll() {
 	for i := range l.actions {
 		l.carryOut(&l.actions[i])
 	}
@@ -226,6 +241,9 @@
 		c.reply(answer{status: statusRefused, retryAfter: l.comeBack})
 		return
 	}
+	if l.tables != nil && c.tables != l.tables && !l.place(c) {
+		return
+	}
 	old := l.ids[c.id]
 	if old != nil && old.again != nil && !old.again.ended && old.again.hasLeft() {
 		l.gone(old.again)
@@ -264,7 +282,7 @@
 func (l *loop) takeAgain(old *call) {
 	switch c := old.again; {
 	case c == nil || c.ended:
-	case old.mayRun && !c.safe:
+	case old.mayRun && (!c.safe || !old.safe && old.class == c.class):
 		l.finish(c, answer{status: statusFailed})
 	default:
 		c.mayRun = false
@@ -282,14 +300,14 @@
 	if latest := l.time(act.Begin); act.Begin > 0 && (begin.IsZero() || latest.Before(begin)) {
 		begin = latest
 	}
-	a, e, number := newAttempt(begin), l.up.find(server), len(c.attempts)
+	a, e, number, out := newAttempt(begin), l.up.find(server), len(c.attempts), c.out
 	a.left = c.hasLeft
 	c.attempts = append(c.attempts, a)
 	c.open++
 	go func() {
 		outcome, got := forkline.NotSent, (*answer)(nil)
 		if e != nil {
-			outcome, got = l.up.do(a, e, &c.out, l.time(until))
+			outcome, got = l.up.do(a, e, &out, l.time(until))
 		}
 		took := time.Since(sent)
 		l.post(func() { l.closed(c, number, server, outcome, got, took) })
--- /dev/null
+++ b/internal/sidecar/reload_test.go
@@ -0,0 +1,488 @@
+package sidecar
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"forkline"
+)
+
+// Tests of settings that change in a running sidecar.
+
+// edited is a configuration with an edit to its settings; the one given stays as it is.
+func edited(cfg Config, edit func(*forkline.Settings)) Config {
+	set := &cfg.Site.Settings
+	set.Classes, set.Tenants = slices.Clone(set.Classes), slices.Clone(set.Tenants)
+	edit(set)
+	return cfg
+}
+
+// reload puts an edit in force.
+func reload(t *testing.T, s *Sidecar, cfg Config, edit func(*forkline.Settings)) Config {
+	t.Helper()
+	cfg = edited(cfg, edit)
+	if err := s.Reload(cfg); err != nil {
+		t.Fatal(err)
+	}
+	return cfg
+}
+
+// gated is an endpoint that answers a request named held only when it is let, and breaks it off where that says so.
+type gated struct {
+	addr string
+	came chan string
+	let  chan bool // whether the held one is answered
+}
+
+func newGated(t *testing.T) *gated {
+	g := &gated{came: make(chan string, 100), let: make(chan bool, 100)}
+	g.addr = script(t, func(n int, c net.Conn, r *http.Request) bool {
+		id := r.Header.Get("X-Request-Id")
+		if g.came <- id; strings.HasPrefix(id, "held") && !<-g.let {
+			return false
+		}
+		return echo(n, c, r)
+	}).Addr().String()
+	return g
+}
+
+func (g *gated) await(t *testing.T, id string) {
+	t.Helper()
+	select {
+	case got := <-g.came:
+		if got != id {
+			t.Fatalf("request %q came, want %q", got, id)
+		}
+	case <-time.After(long):
+		t.Fatalf("request %q did not come", id)
+	}
+}
+
+// ask sends one request on a connection of its own.
+func ask(t *testing.T, s *Sidecar, id, method, class string, headers ...string) *client {
+	t.Helper()
+	c := dial(t, s)
+	c.id = id
+	c.send(method, class, "", headers...)
+	return c
+}
+
+func (c *client) status(t *testing.T) int {
+	t.Helper()
+	res, _ := c.answer(t)
+	return res.StatusCode
+}
+
+// A class that was unknown is served, one that is gone is not found, and what is out meanwhile is answered.
+func TestReloadOfClasses(t *testing.T) {
+	g := newGated(t)
+	cfg := patient(t, g.addr)
+	s := start(t, cfg)
+	held := ask(t, s, "held", "GET", "read")
+	g.await(t, "held")
+	if status := ask(t, s, "new", "GET", "new").status(t); status != 404 {
+		t.Errorf("status %d before the class is known", status)
+	}
+	kept := dial(t, s) // a connection from before goes on
+	reload(t, s, cfg, func(set *forkline.Settings) {
+		set.Classes[0].Name = "new" // and read is gone
+		slices.Reverse(set.Classes)
+	})
+	kept.id = "kept"
+	kept.send("GET", "new", "")
+	if status := kept.status(t); status != 200 {
+		t.Errorf("status %d of the new class", status)
+	}
+	if status := ask(t, s, "gone", "GET", "read").status(t); status != 404 {
+		t.Errorf("status %d of the class that is gone", status)
+	}
+	g.let <- true
+	if status := held.status(t); status != 200 {
+		t.Errorf("status %d of the request that was out", status)
+	}
+	s.loop.ask(func() {
+		if len(s.loop.calls) != 0 || len(s.loop.ids) != 0 {
+			t.Errorf("%d calls are kept", len(s.loop.calls))
+		}
+	})
+}
+
+// A long deadline that is short now ends a request in time: it would wait for longer than this test by the old one.
+func TestReloadOfADeadline(t *testing.T) {
+	g := newGated(t)
+	cfg := patient(t, g.addr)
+	s := start(t, cfg)
+	reload(t, s, cfg, func(set *forkline.Settings) {
+		set.Classes[0].Aim, set.Classes[0].GiveUp = 100, 200
+		set.Limits.ConnectTimeout, set.Safety.DrainGrace, set.Limits.RetryAfter = 77, 1000, false
+	})
+	s.loop.ask(func() { // the figures of connections and of the loop's own refusals are put in force with it
+		if u := s.loop.up; u.dialTimeout != 77*time.Millisecond || u.grace != 600*time.Millisecond || s.loop.comeBack != 0 {
+			t.Errorf("dials for %v, begins within %v, clients come back after %v", u.dialTimeout, u.grace, s.loop.comeBack)
+		}
+	})
+	if status := ask(t, s, "held", "GET", "read").status(t); status != statusRefused && status != statusFailed {
+		t.Errorf("status %d", status)
+	}
+	g.let <- false
+}
+
+// A quota that is used up turns away at once what would otherwise wait.
+func TestReloadOfAQuota(t *testing.T) {
+	g := newGated(t)
+	cfg := patient(t, g.addr)
+	s := start(t, cfg)
+	for _, id := range []string{"held1", "held2", "held3", "held4", "held5"} { // all that a copy has out at its start
+		ask(t, s, id, "GET", "read")
+		g.await(t, id)
+	}
+	reload(t, s, cfg, func(set *forkline.Settings) {
+		set.Tenants, set.OverShareWorth = []forkline.Tenant{{Name: "small", Quota: 1e-6}}, 0
+	})
+	ask(t, s, "waits", "GET", "read", "X-Tenant: small") // the one that the bucket holds
+	taken(t, s, func(c *call) bool { return c.id == "waits" })
+	if status := ask(t, s, "over", "GET", "read", "X-Tenant: small").status(t); status != statusRefused {
+		t.Errorf("status %d beyond the quota", status)
+	}
+	for range 5 {
+		g.let <- true
+	}
+}
+
+// A request that may have run is not sent again if its class is unsafe in either file.
+func TestReloadOfAnEffectInFlight(t *testing.T) {
+	for name, c := range map[string]struct {
+		method, class string
+		index         int
+		effect        forkline.Effect
+	}{
+		"safe, then unsafe": {"GET", "read", 0, forkline.Unsafe},
+		"unsafe, then safe": {"POST", "pay", 1, forkline.Safe},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g, other := newGated(t), newGated(t)
+			cfg := patient(t, g.addr)
+			s := start(t, cfg)
+			out := ask(t, s, "held", c.method, c.class)
+			g.await(t, "held")
+			reload(t, s, cfg, func(set *forkline.Settings) { set.Classes[c.index].Effect = c.effect })
+			s.loop.ask(func() {
+				if k := s.loop.ids["held"]; k.safe || !k.out.once {
+					t.Errorf("safe %v, must run once %v", k.safe, k.out.once)
+				}
+			})
+			more := List{Targets: []Target{{UID: "more", Endpoint: other.addr, Zone: "z", State: "Ready"}}}
+			s.loop.ask(func() { s.loop.list(more, forkline.ListDelta) })
+			g.let <- false
+			if status := out.status(t); status != statusFailed || len(g.came)+len(other.came) > 0 {
+				t.Errorf("status %d, %d further sends", status, len(g.came)+len(other.came))
+			}
+		})
+	}
+}
+
+// A request that comes again while its first copy is called off may not run if that copy was of an unsafe class.
+func TestReloadBetweenTwoCopies(t *testing.T) {
+	g := newGated(t)
+	cfg := patient(t, g.addr)
+	s := start(t, cfg)
+	var old *call
+	first := ask(t, s, "held", "POST", "pay")
+	g.await(t, "held")
+	s.loop.ask(func() { old = s.loop.ids["held"]; old.open++ }) // what ends its attempt is held back
+	first.Close()
+	eventually(t, "the leaving", func() (ended bool) { s.loop.ask(func() { ended = old.ended }); return ended })
+	reload(t, s, cfg, func(set *forkline.Settings) { set.Classes[1].Effect = forkline.Safe })
+	second := ask(t, s, "held", "GET", "pay")
+	eventually(t, "the second copy", func() (waits bool) { s.loop.ask(func() { waits = old.again != nil }); return waits })
+	s.loop.post(func() { old.open--; s.loop.release(old) })
+	if status := second.status(t); status != statusFailed || len(g.came) > 0 {
+		t.Errorf("status %d, %d further sends", status, len(g.came))
+	}
+	g.let <- false
+}
+
+// A request that was read by the old settings and comes to the loop after the change is taken by the new ones.
+func TestReloadOvertakesARequest(t *testing.T) {
+	cfg := config(t, listen(t).Addr().String())
+	s := start(t, cfg)
+	parse := func(method, class string) *call {
+		c, _, complaint := s.front.parse(message{
+			first:  method + " /" + class + "/x HTTP/1.1",
+			header: http.Header{"X-Class": {class}, "X-Request-Id": {"r"}, "X-Tenant": {"b"}},
+		})
+		if c == nil {
+			t.Fatal(complaint)
+		}
+		c.due(s.loop.now())
+		return c
+	}
+	moved, gone, other, keyless := parse("GET", "read"), parse("POST", "pay"), parse("POST", "pay"), parse("POST", "pay")
+	arrived := moved.event.Due - moved.wait
+	cfg = reload(t, s, cfg, func(set *forkline.Settings) {
+		set.Classes = []forkline.Class{set.Classes[2], set.Classes[0]} // pay is gone
+		set.Classes[1].GiveUp = 1500
+		set.Tenants = []forkline.Tenant{{Name: "a"}, {Name: "b"}}
+	})
+	take := func(c *call) (got answer) {
+		s.loop.ask(func() {
+			c.reply = func(a answer) { got = a }
+			s.loop.take(c)
+			s.loop.gone(c)
+		})
+		return got
+	}
+	take(moved)
+	if e := moved.event; e.Class != 1 || e.Tenant != 1 || e.Due != arrived+1450 {
+		t.Errorf("class %d, tenant %d, due after %v ms", e.Class, e.Tenant, e.Due-arrived)
+	}
+	if got := take(gone); got.status != 404 {
+		t.Errorf("status %d for a class that is gone", got.status)
+	}
+	cfg = reload(t, s, cfg, func(set *forkline.Settings) {
+		set.Classes = append(set.Classes, forkline.Class{Name: "pay", Aim: 1, GiveUp: 9, Effect: forkline.Safe})
+	})
+	if got := take(other); got.status != 405 {
+		t.Errorf("status %d for a method that the class does not have any more", got.status)
+	}
+	reload(t, s, cfg, func(set *forkline.Settings) { set.Classes[2].Effect = forkline.Keyed })
+	if got := take(keyless); got.status != 400 {
+		t.Errorf("status %d for a request without the key that it needs now", got.status)
+	}
+}
+
+// What cannot be used, or cannot change, leaves everything as it was, the address of discovery too.
+func TestReloadTakesAllOrNothing(t *testing.T) {
+	g := newGated(t)
+	cfg := patient(t, g.addr)
+	s := start(t, cfg)
+	for want, spoil := range map[string]func(*forkline.Settings){
+		"Stages":        func(set *forkline.Settings) { set.Stages = 3 },
+		"ListOnRequest": func(set *forkline.Settings) { set.ListOnRequest = true },
+		"GiveUp":        func(set *forkline.Settings) { set.Classes[1].GiveUp = -1 },
+		"Classes":       func(set *forkline.Settings) { set.Classes = nil },
+	} {
+		bad := edited(cfg, func(set *forkline.Settings) { set.Classes[0].Name = "new"; set.Copies = 9; spoil(set) })
+		bad.Discovery = "127.0.0.1:1"
+		if err := s.Reload(bad); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("error %v, want one that names %s", err, want)
+		}
+	}
+	if status := ask(t, s, "a", "GET", "new").status(t); status != 404 {
+		t.Errorf("status %d of a class that was refused", status)
+	}
+	if status := ask(t, s, "b", "GET", "read").status(t); status != 200 {
+		t.Errorf("status %d of a class of before", status)
+	}
+	if s.discovery.addr != cfg.Discovery || s.loop.tables != nil {
+		t.Errorf("discovery is at %s", s.discovery.addr)
+	}
+}
+
+// The same settings cost the loop nothing, and a move of discovery in that file counts.
+func TestReloadOfTheSameSettings(t *testing.T) {
+	cfg := config(t, listen(t).Addr().String())
+	s := start(t, cfg)
+	z := seize(s) // it would have to wait for the loop
+	same := edited(cfg, func(*forkline.Settings) {})
+	same.Discovery, same.Sockets, same.Name = listen(t).Addr().String(), 999, "m"
+	done := make(chan error)
+	go func() { done <- s.Reload(same) }()
+	select {
+	case err := <-done:
+		if err != nil {
+			t.Error(err)
+		}
+	case <-time.After(long):
+		t.Fatal("it waits for the loop")
+	}
+	if s.discovery.addr != same.Discovery {
+		t.Errorf("discovery is at %s", s.discovery.addr)
+	}
+	if kept := s.kept(&same); !slices.Equal(kept, []string{"name", "limits.sockets"}) {
+		t.Errorf("kept: %q", kept)
+	}
+	z.free()
+}
+
+// Changes and moves come at once from several sides, while the loop's mail is full and a watch tells lists: nobody
+// waits for good, and what came last is in force.
+func TestReloadWithTheMailFull(t *testing.T) {
+	cfg := config(t, listen(t).Addr().String())
+	lists := discover(t, func(_ string, tell func(List), beat func()) {
+		for rev := int64(1); rev < 50; rev++ {
+			tell(List{Rev: rev, All: true, Targets: cfg.Known.Targets})
+		}
+		beat()
+	})
+	s := start(t, cfg)
+	z := seize(s)
+	for len(s.loop.mail) < cap(s.loop.mail) {
+		s.loop.mail <- func() {}
+	}
+	var all sync.WaitGroup
+	for i := range 20 {
+		all.Go(func() {
+			c := edited(cfg, func(set *forkline.Settings) { set.Classes[0].GiveUp = float64(5000 + i) })
+			c.Discovery = []string{lists, cfg.Discovery}[i%2]
+			if err := s.Reload(c); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	z.free()
+	all.Wait()
+	last := reload(t, s, cfg, func(set *forkline.Settings) { set.Classes[0].GiveUp = 7777 })
+	s.loop.ask(func() {
+		if got := s.loop.tables.set.Classes[0].GiveUp; got != 7777 {
+			t.Errorf("deadline %v in force", got)
+		}
+	})
+	if got := s.front.tables.Load().set.Classes[0].GiveUp; got != 7777 || s.discovery.addr != last.Discovery {
+		t.Errorf("deadline %v at the front, discovery at %s", got, s.discovery.addr)
+	}
+}
+
+// A change during a drain is in force for what is still taken; before one, the drain follows the new longest deadline.
+// After the end it is told to be too late.
+func TestReloadAndDrain(t *testing.T) {
+	g := newGated(t)
+	cfg := patient(t, g.addr)
+	s, err := New(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.patience = 0
+	s.front.accept = 2 * time.Second // for a test on a busy machine
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error)
+	go func() { ended <- s.Run(ctx) }()
+	longest := s.last()
+	cfg = reload(t, s, cfg, func(set *forkline.Settings) {
+		for i := range set.Classes {
+			set.Classes[i].Aim, set.Classes[i].GiveUp = 2000, 2000
+		}
+	})
+	if got := s.last(); got != longest-time.Second { // 3 s, the most that is waited for, before
+		t.Errorf("what is left is given up %v after SIGTERM, before %v", got, longest)
+	}
+	held := ask(t, s, "held", "GET", "read")
+	g.await(t, "held")
+	cancel()
+	eventually(t, "the drain", s.front.draining.Load)
+	cfg = reload(t, s, cfg, func(set *forkline.Settings) { set.Classes[1].Name = "new" })
+	if status := ask(t, s, "late", "POST", "new").status(t); status != 200 {
+		t.Errorf("status %d of a class that came during the drain", status)
+	}
+	g.let <- true
+	if status := held.status(t); status != 200 {
+		t.Errorf("status %d of what was taken before", status)
+	}
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+	late := edited(cfg, func(set *forkline.Settings) { set.Copies = 5 })
+	if err := s.Reload(late); !errors.Is(err, errEnded) {
+		t.Errorf("error %v after the end", err)
+	}
+}
+
+// The module is told the list by the new numbers of zones: two that had none, and were one for it, are two.
+func TestReloadOfZonesTellsTheListAnew(t *testing.T) {
+	a, b := newGated(t), newGated(t)
+	cfg := patient(t, a.addr, b.addr)
+	cfg.Known.Targets[0].Zone, cfg.Known.Targets[1].Zone = "a", "b"
+	cfg = edited(cfg, func(set *forkline.Settings) {
+		c := &set.Classes[2]
+		c.Aim, c.GiveUp, c.Group, c.Window = set.Classes[0].Aim, set.Classes[0].GiveUp, forkline.GroupZone, 1e9
+	})
+	s := start(t, cfg)
+	eventually(t, "the list", func() bool { return isReady(s) })
+	cfg.Site.Zones = []string{"z", "a", "b"}
+	if err := s.Reload(cfg); err != nil {
+		t.Fatal(err)
+	}
+	out := ask(t, s, "held", "POST", "add", "Idempotency-Key: k")
+	for range 9 {
+		a.let <- false
+		b.let <- false
+	}
+	if status := out.status(t); status != statusFailed || len(a.came) > 0 == (len(b.came) > 0) {
+		t.Errorf("status %d after %d sends to one and %d to the other, want all in one zone", status, len(a.came), len(b.came))
+	}
+}
+
+// Zones have other numbers: nothing is repeated in a zone by its old one.
+func TestReloadOfZones(t *testing.T) {
+	g, other := newGated(t), newGated(t)
+	cfg := patient(t, g.addr, other.addr)
+	cfg.Known.Targets[1].Zone = "y"
+	cfg.Known.Targets = cfg.Known.Targets[:1]
+	cfg = edited(cfg, func(set *forkline.Settings) {
+		c := &set.Classes[2]
+		c.Aim, c.GiveUp, c.Group, c.Window = set.Classes[0].Aim, set.Classes[0].GiveUp, forkline.GroupZone, 1e9
+	})
+	s := start(t, cfg)
+	out := ask(t, s, "held", "POST", "add", "Idempotency-Key: k")
+	g.await(t, "held")
+	s.loop.ask(func() { s.loop.list(List{All: true}, forkline.ListFull) }) // its server is gone and not told anew
+	cfg.Site.Zones = []string{"y", "z"}
+	if err := s.Reload(cfg); err != nil {
+		t.Fatal(err)
+	}
+	var entry forkline.ServerEntry
+	s.loop.ask(func() {
+		entry = s.loop.directory.entry(&Target{UID: "s-2", Zone: "z"})
+	})
+	if entry.Zone != 1 {
+		t.Errorf("zone %d, want the new number", entry.Zone)
+	}
+	// Another one is in the zone of its old number.
+	list := List{All: true, Targets: []Target{{UID: "s-1", Endpoint: other.addr, Zone: "y", State: "Ready"}}}
+	s.loop.ask(func() { s.loop.list(list, forkline.ListFull) })
+	g.let <- false
+	if status := out.status(t); status != statusFailed || len(other.came) > 0 {
+		t.Errorf("status %d, %d sends to a server that does not know the key", status, len(other.came))
+	}
+	s.loop.ask(func() {
+		if d := s.loop.directory; len(d.told) != 1 || len(d.ids) != 1 {
+			t.Errorf("%d targets and %d ids are kept of one that is listed", len(d.told), len(d.ids))
+		}
+	})
+}
+
+// Connections go by the new limits: idle ones that are too old end, and what was learned of them stays if it is less.
+func TestReloadOfConnections(t *testing.T) {
+	ln := script(t, func(_ int, c net.Conn, _ *http.Request) bool {
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		return true
+	})
+	u := pool(ln.Addr().String(), 4)
+	u.configure(forkline.Limits{ConnIdle: 3.6e6}, 0)
+	if u.trust != u.idleLimit || u.idleLimit != 48*time.Minute {
+		t.Errorf("idle for %v, trusted for %v", u.idleLimit, u.trust)
+	}
+	attemptOn(u, long)
+	u.configure(forkline.Limits{ConnIdle: 10, ConnectTimeout: 77}, 1000)
+	if u.trust != 8*time.Millisecond || u.dialTimeout != 77*time.Millisecond || u.grace != 600*time.Millisecond {
+		t.Errorf("trusted for %v, dials %v, begins within %v", u.trust, u.dialTimeout, u.grace)
+	}
+	eventually(t, "the end of the idle connection", func() bool {
+		u.mu.Lock()
+		defer u.mu.Unlock()
+		return u.open == 0 && u.sweeper == nil
+	})
+	u.trust = time.Millisecond
+	u.configure(forkline.Limits{}, 0)
+	if u.trust != time.Millisecond || u.idleLimit != defaultIdle || u.dialTimeout != defaultDial || u.grace != 0 {
+		t.Errorf("trusted for %v, idle for %v, dials %v", u.trust, u.idleLimit, u.dialTimeout)
+	}
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"sync"
 	"time"
 
 	"forkline"
@@ -20,6 +21,8 @@
 	MemoryMB, Sockets       int
 	Site                    wire.Site
 	Known                   List
+	Hash                    uint64    // of the settings' text, for the log
+	Signalled               time.Time // when a change to this was asked for, for the log
 }
 
 // LeastSockets is the smallest descriptor limit that leaves some for clients and for endpoints.
@@ -37,7 +40,9 @@
 
 // Sidecar is one running copy.
 type Sidecar struct {
-	cfg        Config
+	reloading  sync.Mutex // one Reload at a time; the loop must not wait for it
+	mu         sync.Mutex
+	cfg        Config // guarded by mu; Reload alone changes it
 	loop       *loop
 	front      *front
 	discovery  *discovery
@@ -118,6 +123,8 @@
 // last is the time from SIGTERM at which what is left is given up, so as to be answered before SIGKILL.
 func (s *Sidecar) last() time.Duration {
 	longest := 0.0
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	for _, c := range s.cfg.Site.Settings.Classes {
 		longest = max(longest, c.GiveUp/1000)
 	}
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -72,34 +72,52 @@
 
 // upstream owns all connections to endpoints.
 type upstream struct {
+	most  int           // connections at once
+	hold  time.Duration // see holdTime
+	rest  time.Duration // see restTime
+	grace time.Duration // from the decision on an attempt to its first byte; 0 = any; the loop's
+
+	mu                     sync.Mutex
 	dialTimeout, idleLimit time.Duration
-	most                   int           // connections at once
-	hold                   time.Duration // see holdTime
-	rest                   time.Duration // see restTime
-	grace                  time.Duration // from the decision on an attempt to its first byte; 0 = any
-
-	mu        sync.Mutex
-	endpoints map[uint32]*endpoint
-	open      int           // connections, and dials under way
-	sweeping  bool          // a sweep of idle connections is due
-	trust     time.Duration // a request that must not run twice goes on no connection idle for longer
-	sound     int           // reuses in a row of connections idle for longer than that, by other requests
+	endpoints              map[uint32]*endpoint
+	open                   int           // connections, and dials under way
+	sweeper                *time.Timer   // of the next sweep of idle connections; nil = none is due
+	trust                  time.Duration // a request that must not run twice goes on no connection idle for longer
+	sound                  int           // reuses in a row of connections idle for longer than that, by other requests
 }
 
 // newUpstream makes a pool of at most so many connections.
 func newUpstream(l forkline.Limits, drainGrace float64, most int) *upstream {
-	u := &upstream{
-		dialTimeout: defaultDial, idleLimit: defaultIdle, most: most, grace: millis(gracePart * drainGrace),
-		hold: holdTime, rest: restTime, endpoints: map[uint32]*endpoint{},
+	u := &upstream{most: most, hold: holdTime, rest: restTime, endpoints: map[uint32]*endpoint{}}
+	u.configure(l, drainGrace)
+	return u
+}
+
+// idleLimit is the time for which a connection may be idle.
+func idleLimit(l forkline.Limits) time.Duration {
+	if l.ConnIdle > 0 {
+		return millis(idlePart * l.ConnIdle)
 	}
+	return defaultIdle
+}
+
+// configure takes over what settings say of connections. The loop calls it; attempts that are out go on by what they
+// began with.
+func (u *upstream) configure(l forkline.Limits, drainGrace float64) {
+	u.grace = millis(gracePart * drainGrace)
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	before := u.idleLimit
+	u.dialTimeout, u.idleLimit = defaultDial, idleLimit(l)
 	if l.ConnectTimeout > 0 {
 		u.dialTimeout = millis(l.ConnectTimeout)
 	}
-	if l.ConnIdle > 0 {
-		u.idleLimit = millis(idlePart * l.ConnIdle)
+	if u.trust == before || u.trust > u.idleLimit { // else less was learned
+		u.trust = u.idleLimit
+	}
+	if u.sweeper != nil && u.idleLimit < before && u.sweeper.Stop() { // else the sweep is about to run
+		u.sweeper = time.AfterFunc(0, u.sweep)
 	}
-	u.trust = u.idleLimit
-	return u
 }
 
 // list notes where a server is and whether it wants requests. Idle connections to one that
@@ -330,7 +348,9 @@
 	if !u.acquire() {
 		return nil, errPoolExhausted
 	}
+	u.mu.Lock()
 	d := net.Dialer{Timeout: u.dialTimeout, Deadline: until, KeepAlive: -1}
+	u.mu.Unlock()
 	raw, err := d.DialContext(ctx, "tcp", e.addr)
 	if err != nil {
 		u.mu.Lock()
@@ -423,9 +443,8 @@
 	}
 	c.since = time.Now()
 	c.home.idle = append(c.home.idle, c)
-	if !u.sweeping {
-		u.sweeping = true
-		time.AfterFunc(u.idleLimit, u.sweep)
+	if u.sweeper == nil {
+		u.sweeper = time.AfterFunc(u.idleLimit, u.sweep)
 	}
 }
 
@@ -443,8 +462,9 @@
 			next = e.idle[0].since
 		}
 	}
-	if u.sweeping = next != now; u.sweeping {
-		time.AfterFunc(u.idleLimit-now.Sub(next), u.sweep)
+	u.sweeper = nil
+	if next != now {
+		u.sweeper = time.AfterFunc(u.idleLimit-now.Sub(next), u.sweep)
 	}
 }
 
