Measure how soon a change of the settings is in force, by signal or restart

slopes change starts real sidecars, sends calls through all, replaces their files, and signals each or restarts them a tenth at a time. It tells when the last one serves a class that was unknown and keeps to a deadline that was long, how calls ended before and meanwhile, and the processor time of a change. TestExitCodes has a further line for it. The search for a deployment's names reads settings.go too.

--- a/cmd/slopes/main.go
+++ b/cmd/slopes/main.go
@@ -43,6 +43,7 @@
 	Cost      sidecarCommand   `cmd:"" name:"sidecar" help:"Memory, processor time and bytes of one sidecar process against list, changes and connections."`
 	Discovery discoveryCommand `cmd:"" help:"Processor time and bytes of the stand-in discovery against watches and list."`
 	Added     addedCommand     `cmd:"" help:"What a sidecar adds to a call, for each effect, against the direct way in the same run."`
+	Change    changeCommand    `cmd:"" help:"Until a change of the settings is in force in real sidecars, and what it costs."`
 	Fleet     fleetCommand     `cmd:"" help:"Outages of discovery and a wave of restarts with real sidecars."`
 	StandIn   standInCommand   `cmd:"" hidden:"" name:"stand-in" help:"Run a stand-in discovery on standard input and output."`
 }
--- a/cmd/slopes/main_test.go
+++ b/cmd/slopes/main_test.go
@@ -68,6 +68,7 @@
 		"fleet --binary=/x --sidecars=301":  exitFailed,
 		"added --binary=/x --endpoints=301": exitFailed,
 		"sidecar --binary=/x --lists=-1":    exitFailed,
+		"change --binary=/x --sidecars=301": exitFailed,
 		"module --within=1ns":               exitFailed,
 	} {
 		code, text, complaints := words(line)
--- a/internal/sidecar/names_test.go
+++ b/internal/sidecar/names_test.go
@@ -159,7 +159,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	program := []string{"deploy/balancer.toml", "api.go", "cmd/forkline-sim"}
+	program := []string{"deploy/balancer.toml", "api.go", "settings.go", "cmd/forkline-sim"}
 	for _, m := range regexp.MustCompile(`(?m)^(?:policy|node) = (\[.+\])$`).FindAllStringSubmatch(string(deploy), -1) {
 		var paths []string
 		if err := json.Unmarshal([]byte(m[1]), &paths); err != nil {
