Ask a crowded discovery less: rounds of 5 s, no quick second call of a new process

Discovery has too many callers there; calls wait up to 2.5 s and end in 503.

Change: rounds last 5 s (nextTurn), a call is overdue after 1.7 s (listwatch), and a new process begins with the long round.

--- a/balancer.go
+++ b/balancer.go
@@ -60,7 +60,7 @@
 	comeBack        = 1000.0  // a refused client is asked back then: answers have been measured anew
 	askSpread       = 0.3     // first call to the list is spread over this share of AskEvery
 	askSoon         = 1000.0  // round of calls for the list, by all copies, once a watch broke or moved
-	askRound        = 4000.0  // and after that: of the 6 s till changes are told, 2 are left for an answer
+	askRound        = 5000.0  // and after that: of the 6 s till changes are told, 1 is left for an answer
 )
 
 // sample is one outcome at a server: latency as a ratio to its class's threshold.
@@ -201,7 +201,7 @@
 	}
 	b.configure(set)
 	if set.ListOnRequest {
-		b.askRounds = askSoon
+		b.askRounds = askRound
 		b.askAt = now + b.random()*askSpread*set.Safety.AskEvery
 	}
 	b.leastFrom = now + 2*b.silence
--- a/internal/listwatch/listwatch.go
+++ b/internal/listwatch/listwatch.go
@@ -20,9 +20,10 @@
 }
 
 // Asked is the policy where discovery is asked. A watch beats every 2 s, and what a silent one misses counts as told
-// 6 s after. A call is overdue before the module's shortest round of calls is over, so that no round is left out.
+// 6 s after. A call that hangs is overdue with time left for another; sooner, calls that wait their turn would be
+// repeated, which a crowded discovery cannot bear.
 var Asked = Policy{
-	Silence: 3 * time.Second, Dial: 2 * time.Second, Overdue: 900 * time.Millisecond,
+	Silence: 3 * time.Second, Dial: 2 * time.Second, Overdue: 1700 * time.Millisecond,
 	GiveUp: 8 * time.Second, Hold: 30 * time.Second,
 }
 
