Start a sidecar of the rig in one place

Both call launch now; behaviour is the same. go vet and the rig's tests of changes, starts and outages pass.

--- a/internal/rig/change.go
+++ b/internal/rig/change.go
@@ -157,18 +157,7 @@
 
 // start starts a sidecar, or starts it again, with an edit to its settings.
 func (o Change) start(ctx context.Context, b *bench, i int, edit func(map[string]any) map[string]any) error {
-	set := edit(o.settings(i))
-	p, err := start(ctx, b.binary, b.dir, fmt.Sprint("n", i), b.discovery.Addr(i), b.discovery.List(), b.seed(), set)
-	if err != nil {
-		return err
-	}
-	b.mu.Lock()
-	if old := b.programs[i]; old != nil {
-		p.before = old.before
-	}
-	b.programs[i] = p
-	b.mu.Unlock()
-	return p.awaitReady(ctx)
+	return b.launch(ctx, fmt.Sprint("n", i), i, edit(o.settings(i)))
 }
 
 // calling sends calls while something is done.
--- a/internal/rig/cost.go
+++ b/internal/rig/cost.go
@@ -93,6 +93,11 @@
 func (b *bench) start(ctx context.Context, i int, asked bool) error {
 	name := fmt.Sprint("n", i)
 	set := settings(len(b.programs), i, asked, b.askEvery)
+	return b.launch(ctx, name, i, set)
+}
+
+// launch starts a sidecar with these settings in the place of the one before, and waits until it is ready.
+func (b *bench) launch(ctx context.Context, name string, i int, set map[string]any) error {
 	p, err := start(ctx, b.binary, b.dir, name, b.discovery.Addr(i), b.discovery.List(), b.seed(), set)
 	if err != nil {
 		return err
