Split the limit, the retries and the statistics out of balancer.go

The concurrency limit is a type of its own (limit.go), retries and permission are in retry.go, and rates, windows, samples and random numbers, which decide nothing, in internal/stats.

--- a/balancer.go
+++ b/balancer.go
@@ -11,6 +11,8 @@
 	"maps"
 	"math"
 	"slices"
+
+	"forkline/internal/stats"
 )
 
 const ( // times are milliseconds, shares have no unit
@@ -29,7 +31,6 @@
 	runLimit        = 2.5     // failures in a run, goods leaking away, that eject a server at once
 	runLeak         = 0.25    // one good answer takes this much of a run away
 	trialGoods      = 3       // good trial calls in a row that make an ejected server unmeasured
-	shedOver        = 1.2     // ratio of p95 to threshold at which the front sheds: tails alone pass 1
 	sharedPart      = 0.4     // part of the tier in trouble from which the cause is held to be shared
 	coldPart        = 0.7     // part of its present share that a cold server is given at most
 	demandTime      = 2000.0  // time constant of the demand average
@@ -53,8 +54,6 @@
 	subsetHeld      = 2.0     // calls that a server's own copies have out there before they go elsewhere
 	heldFirst       = 5.0     // calls a server is taken to hold at once, over all copies, till measured
 	heldLeast       = 2.0     // and a copy at least: with one call at a time a sparse copy measures nothing
-	waitOver        = 1.3     // the front sheds only for waiting: answers take so many times the least mean
-	leastDrift      = 0.005   // and that least mean forgets by this share a second
 	wakeLeast       = 5.0     // shortest timer, so that waiting calls cost little CPU
 	wakeMost        = 20.0    // longest timer while calls wait
 	comeBack        = 1000.0  // a refused client is asked back then: answers have been measured anew
@@ -63,9 +62,6 @@
 	askRound        = 5000.0  // and after that: of the 6 s till changes are told, 1 is left for an answer
 )
 
-// sample is one outcome at a server: latency as a ratio to its class's threshold.
-type sample struct{ at, ratio float64 }
-
 // server is what this copy knows of one server, from its list and its own calls.
 type server struct {
 	ServerEntry
@@ -82,15 +78,15 @@
 	load, maxLoad     float64
 	credit, accruedAt float64
 	lastSent          float64
-	heard             float64 // last answer, or first send since none was out
-	closeAt           float64 // it drains: idle connections are closed once more then; 0 = not
-	reviseAt, since   float64 // next revision, and since when good is counted
-	run               float64 // failures in a run
-	good, goods       int     // good answers since then, and in a row since the ejection
-	samples           [ringSize]sample
-	count             int     // samples ever taken
-	meanLatency       float64 // mean ratio of its answers; 0 = none yet
-	meanConcurrency   float64 // mean number of calls out there, with each of these
+	heard             float64                // last answer, or first send since none was out
+	closeAt           float64                // it drains: idle connections are closed once more then; 0 = not
+	reviseAt, since   float64                // next revision, and since when good is counted
+	run               float64                // failures in a run
+	good, goods       int                    // good answers since then, and in a row since the ejection
+	samples           [ringSize]stats.Sample // latencies as ratios to their classes' thresholds
+	count             int                    // samples ever taken
+	meanLatency       float64                // mean ratio of its answers; 0 = none yet
+	meanConcurrency   float64                // mean number of calls out there, with each of these
 }
 
 func (s *server) ready() bool { return s.listed && s.State == Ready }
@@ -114,13 +110,6 @@
 	streams bool // its answer has begun
 }
 
-// hedgeTimer is an attempt that may have gone to a server that is silent, and when to look.
-type hedgeTimer struct {
-	at      float64
-	request uint32
-	attempt uint16
-}
-
 // request is one call that this copy has taken.
 type request struct {
 	id                uint32
@@ -151,43 +140,40 @@
 
 // Balancer is one copy. It is not safe for concurrent use.
 type Balancer struct {
-	set                       Settings
-	rng                       uint64
-	now                       float64
-	acts                      []Action
-	byID                      map[uint32]*server
-	live                      []*server // listed and ready, in the order heard of
-	asked, warm               int       // probes out; servers that are not cold
-	heldMean, turn            float64   // mean of what servers told; time that a call takes for each held
-	zoneServers               []*server // of the own zone, in the order in which all copies deal them out
-	zones                     int       // in which there are servers
-	requests                  map[uint32]*request
-	queue, spare              []*request
-	sweepAt                   float64      // when the first waiting call is to be given up
-	classes                   []classState // of the settings, then those that only open calls are still of
-	tenants                   []bucket
-	pool                      [poolSize]sample
-	pooled                    int
-	measured, ejections       int     // servers with a load of their own; those of them that are ejected
-	meanLoad                  float64 // mean load of those that are not
-	sends, arrivals           average
-	came, connLost            float64 // calls, ever; part of late attempts that found no connection
-	meanAim                   float64
-	taken, further            tally        // requests, and attempts that the retry budget counts
-	hedgeTimers               []hedgeTimer // of attempts of safe classes, the next one first
-	closing                   []*server    // draining, and to be closed once more
-	budgetTold, probing       bool         // the site states the retry budget; probes are cheap
-	out                       int          // calls out at servers that are not ejected
-	concurrencyLimit          float64      // most calls out at once; 0 = not bounded yet
-	initialLimit              float64      // its start: the copies must not overrun an unmeasured tier
-	serving                   float64      // those the limit is for: ready, not ejected, a cold one in part
-	limitAt, leastFrom        float64      // next revision of the limit; the least mean counts from then
-	tierLatency, leastLatency float64      // mean ratio of answers and its least: they tell of waiting
-	scratch                   []float64
-	silence                   float64 // time without an answer, with calls out, that is over threshold
-	wakeAt, askAt             float64 // when the pending timer is due, and the list is to be asked; 0 = not
-	timer                     uint64  // its number
-	askRounds                 float64 // length of the copies' next round of calls
+	set                 Settings
+	rng                 stats.Random
+	now                 float64
+	acts                []Action
+	byID                map[uint32]*server
+	live                []*server // listed and ready, in the order heard of
+	asked, warm         int       // probes out; servers that are not cold
+	heldMean, turn      float64   // mean of what servers told; time that a call takes for each held
+	zoneServers         []*server // of the own zone, in the order in which all copies deal them out
+	zones               int       // in which there are servers
+	requests            map[uint32]*request
+	queue, spare        []*request
+	sweepAt             float64      // when the first waiting call is to be given up
+	classes             []classState // of the settings, then those that only open calls are still of
+	tenants             []bucket
+	pool                [poolSize]stats.Sample
+	pooled              int
+	measured, ejections int     // servers with a load of their own; those of them that are ejected
+	meanLoad            float64 // mean load of those that are not
+	sends, arrivals     stats.Rate
+	came, connLost      float64 // calls, ever; part of late attempts that found no connection
+	meanAim             float64
+	taken, further      stats.Window // requests, and attempts that the retry budget counts
+	hedgeTimers         []hedgeTimer // of attempts of safe classes, the next one first
+	closing             []*server    // draining, and to be closed once more
+	budgetTold, probing bool         // the site states the retry budget; probes are cheap
+	out                 int          // calls out at servers that are not ejected
+	limit               concurrencyLimit
+	tierLatency         float64 // mean ratio of answers
+	scratch             []float64
+	silence             float64 // time without an answer, with calls out, that is over threshold
+	wakeAt, askAt       float64 // when the pending timer is due, and the list is to be asked; 0 = not
+	timer               uint64  // its number
+	askRounds           float64 // length of the copies' next round of calls
 }
 
 // New returns a balancer for one copy. The seed makes its random numbers.
@@ -196,7 +182,7 @@
 		return nil, fmt.Errorf("forkline: %w", err)
 	}
 	b := &Balancer{
-		rng: seed ^ 0x9e3779b97f4a7c15, now: now, sweepAt: math.Inf(1), leastLatency: math.Inf(1),
+		rng: stats.NewRandom(seed), now: now, sweepAt: math.Inf(1),
 		byID: map[uint32]*server{}, requests: map[uint32]*request{},
 	}
 	b.configure(set)
@@ -204,7 +190,7 @@
 		b.askRounds = askRound
 		b.askAt = now + b.random()*askSpread*set.Safety.AskEvery
 	}
-	b.leastFrom = now + 2*b.silence
+	b.limit = concurrencyLimit{least: math.Inf(1), leastFrom: now + 2*b.silence}
 	return b, nil
 }
 
@@ -315,15 +301,15 @@
 		b.classes[i].share -= servedGain * b.classes[i].share
 	}
 	b.classes[q.class].share += servedGain
-	b.arrivals.add(b.now, 1)
+	b.arrivals.Add(b.now, 1, demandTime)
 	b.came++
-	b.taken.since(b.now - b.set.Safety.BudgetWindow)
-	b.taken.add(b.now)
+	b.taken.Since(b.now - b.set.Safety.BudgetWindow)
+	b.taken.Add(b.now)
 	// queue_length: as many calls as were sent of late in the longest wait; unbounded with no server.
 	over := b.overQuota(q)
-	bound := (1 + queuePart*b.meanAim/1000*b.sends.rate) * b.valueShare(q, over)
+	bound := (1 + queuePart*b.meanAim/1000*b.sends.PerSecond) * b.valueShare(q, over)
 	full, most := len(b.live) > 0 && len(b.queue) > int(bound), b.set.Limits.MaxOpen
-	full = full || over && b.initialLimit > heldLeast && float64(b.out) >= overQuotaPart*b.concurrencyLimit
+	full = full || over && b.limit.initial > heldLeast && float64(b.out) >= overQuotaPart*b.limit.most
 	if full || most > 0 && len(b.requests) > most {
 		b.end(q)
 		return
@@ -422,8 +408,11 @@
 	if b.now >= b.sweepAt {
 		b.sweep()
 	}
-	if b.now >= b.limitAt {
-		b.reviseLimit()
+	if b.now >= b.limit.reviseAt {
+		b.limit.reviseAt = b.now + windowTime
+		if p95, ok := b.p95(nil); b.set.Stage == 0 {
+			b.limit.revise(float64(b.out), p95, ok, b.scratch)
+		}
 	}
 	taken := 0
 	for _, q := range b.queue {
@@ -452,7 +441,9 @@
 	}
 }
 
-func (b *Balancer) crowded() bool { return b.set.Stage == 0 && float64(b.out) >= b.concurrencyLimit }
+// crowded tells whether as many calls are out as may be. Only the front sheds: an inner error would waste
+// upstream work.
+func (b *Balancer) crowded() bool { return b.set.Stage == 0 && b.limit.full(b.out) }
 
 // sweep ends every waiting call that cannot be answered usefully any more, also behind the head.
 func (b *Balancer) sweep() {
@@ -564,9 +555,9 @@
 	if !b.mayTry(q) || !b.permitted(q, s) {
 		return false
 	}
-	b.sends.add(b.now, 1)
+	b.sends.Add(b.now, 1, demandTime)
 	if b.counted(q) {
-		b.further.add(b.now)
+		b.further.Add(b.now)
 	}
 	s.credit = max(s.credit-1, -subsetHeld) // what is borrowed is bounded
 	b.count(s, 1)
@@ -587,43 +578,6 @@
 	return true
 }
 
-// tryTimeout is how long a call waits for a server that says nothing; 0 = to its end. An inner copy hears of
-// each server too seldom to tell, but for an ejected one; a call that may not run twice is not sent twice.
-func (b *Balancer) tryTimeout(q *request, s *server) float64 {
-	if b.set.Stage > 0 && !s.ejected || !b.set.Limits.Cancel || b.classes[q.class].Effect != Safe {
-		return 0
-	}
-	return tryTimeoutMeans * b.classes[q.class].latency
-}
-
-// setHedge notes when to look after an attempt.
-func (b *Balancer) setHedge(d hedgeTimer) {
-	later := func(o, d hedgeTimer) int { return cmp.Compare(o.at, d.at) }
-	place, _ := slices.BinarySearchFunc(b.hedgeTimers, d, later)
-	b.hedgeTimers = slices.Insert(b.hedgeTimers, place, d)
-}
-
-// callOffSilent calls off attempts at servers that have said nothing since, while there is time for others.
-// One that answers other calls is only slow: a further attempt would add to its load.
-func (b *Balancer) callOffSilent() {
-	for len(b.hedgeTimers) > 0 && b.hedgeTimers[0].at <= b.now {
-		d := b.hedgeTimers[0]
-		b.hedgeTimers = slices.Delete(b.hedgeTimers, 0, 1)
-		q := b.requests[d.request]
-		if q == nil || q.ended || q.streaming || !q.attempts[d.attempt].open {
-			continue
-		}
-		a := &q.attempts[d.attempt]
-		wait := b.tryTimeout(q, a.server) // 0 if its class has changed
-		if at := max(a.sentAt, a.server.heard) + wait; at > b.now {
-			b.setHedge(hedgeTimer{at, d.request, d.attempt})
-		} else if wait > 0 && b.now < b.lastStart(q) && len(q.attempts) < b.set.Limits.MaxAttempts {
-			a.silent = true
-			b.acts = append(b.acts, Action{Kind: ActCancel, Request: q.id, Attempt: d.attempt})
-		}
-	}
-}
-
 // overdue tells whether a server has calls out and gave no answer for too long: it is over threshold already.
 func (b *Balancer) overdue(s *server) bool { return s.out > s.streams && b.now-s.heard > b.silence }
 
@@ -664,65 +618,6 @@
 	}
 }
 
-// mayTry tells whether the rules let this call have an attempt now, at any server.
-func (b *Balancer) mayTry(q *request) bool {
-	if q.ended || q.streaming || q.open > 0 || b.now >= q.due || len(q.attempts) >= b.set.Limits.MaxAttempts {
-		return false
-	}
-	return !b.counted(q) || b.budgetLeft() >= 1
-}
-
-// counted tells whether the next attempt comes out of the retry budget. Where the site states one,
-// every attempt but the first does, also after an outcome that proves that nothing ran.
-func (b *Balancer) counted(q *request) bool {
-	return len(q.attempts) > 0 && (b.budgetTold || q.mayRun)
-}
-
-// budgetLeft is how many further attempts may be made now. The window is exact: a bucket that refills
-// lets a full one and its refill through within one window.
-func (b *Balancer) budgetLeft() float64 {
-	f := &b.set.Safety
-	taken, made := b.taken.since(b.now-f.BudgetWindow), b.further.since(b.now-f.BudgetWindow)
-	return f.BudgetFree + f.BudgetShare*float64(taken) - float64(made)
-}
-
-// tally counts what happened within a sliding window. Entries that have left it are dropped in bulk.
-type tally struct {
-	times []float64
-	first int
-}
-
-func (t *tally) add(now float64) { t.times = append(t.times, now) }
-
-// since counts the entries from a time on, which must not go back, and forgets older ones.
-func (t *tally) since(from float64) int {
-	for t.first < len(t.times) && t.times[t.first] < from {
-		t.first++
-	}
-	if t.first > len(t.times)/2 {
-		t.times = t.times[:copy(t.times, t.times[t.first:])]
-		t.first = 0
-	}
-	return len(t.times) - t.first
-}
-
-// permitted tells whether the rules let a call that may have an attempt have it at this server.
-func (b *Balancer) permitted(q *request, s *server) bool {
-	if !s.ready() || s.cold && s.credit < 1 {
-		return false
-	}
-	c := &b.classes[q.class]
-	if !q.mayRun || c.Effect == Safe {
-		return true
-	}
-	outside := func(a attempt) bool { return a.sentAt >= q.firstRun && !sameGroup(c.Group, a.server, s) }
-	return c.Effect == Keyed && b.now < q.firstRun+c.Window && !slices.ContainsFunc(q.attempts, outside)
-}
-
-func sameGroup(g Group, a, s *server) bool {
-	return (g&GroupZone == 0 || a.Zone == s.Zone) && (g&GroupCell == 0 || a.Cell == s.Cell)
-}
-
 // end is the one way to a final answer of our own: refused where a repeat is harmless, else failed.
 func (b *Balancer) end(q *request) {
 	c := &b.classes[q.class]
@@ -843,16 +738,14 @@
 		c.latency = cmp.Or(c.latency, took)
 		c.latency += latencyGain * (took - c.latency)
 		b.tierLatency += max(latencyGain, 1/float64(b.pooled+1)) * (min(ratio, failRatio) - b.tierLatency)
-		if b.now > b.leastFrom { // the first answers are the quick ones
-			b.leastLatency = min(b.leastLatency, b.tierLatency)
-		}
+		b.limit.observe(b.now, b.tierLatency)
 	}
 	s.linked = out == OK || s.linked && out != ConnectFailed
 	b.connLost -= latencyGain * b.connLost
 	if out == ConnectFailed {
 		b.connLost += latencyGain
 	}
-	sm := sample{b.now, ratio}
+	sm := stats.Sample{At: b.now, Value: ratio}
 	s.samples[s.count%ringSize] = sm
 	s.count++
 	if (out == OK || out == Full) && !s.ejected { // others tell of one server, not of the load
@@ -881,7 +774,7 @@
 	most := max(1, load*creditTime/1000)
 	if s.cold { // for the calls that came, not by time: rates of thin traffic are guesses, and read too high
 		demand := max(s.ramp.demand, b.demand())
-		more := load / max(b.arrivals.rate, 1e-9) * (demand - s.ramp.demand)
+		more := load / max(b.arrivals.PerSecond, 1e-9) * (demand - s.ramp.demand)
 		s.credit, s.ramp.demand = s.ramp.refill(s.credit, more, most, b.now), demand
 	} else {
 		s.credit = min(most, s.credit+load*(b.now-s.accruedAt)/1000)
@@ -892,7 +785,7 @@
 
 // demand is the calls that came so far, each counted over demandTime: a burst reaches cold servers late.
 func (b *Balancer) demand() float64 {
-	return b.came - b.arrivals.rate*math.Exp((b.arrivals.at-b.now)/demandTime)*demandTime/1000
+	return b.came - b.arrivals.PerSecond*math.Exp((b.arrivals.At-b.now)/demandTime)*demandTime/1000
 }
 
 // loadOf is the load a server is given now, in calls a second of this copy.
@@ -901,13 +794,13 @@
 	if !s.measured {
 		load = b.meanLoad
 		if b.measured == 0 {
-			load = headroom * b.sends.rate / float64(max(len(b.live), 1))
+			load = headroom * b.sends.PerSecond / float64(max(len(b.live), 1))
 		}
 	}
 	if s.cold {
 		age := b.now - s.Started
 		if age < b.set.Safety.Ramp {
-			from, share := b.set.Safety.ColdFrom, b.arrivals.rate/float64(max(len(b.live), 1))
+			from, share := b.set.Safety.ColdFrom, b.arrivals.PerSecond/float64(max(len(b.live), 1))
 			weight := s.ramp.weight(b.set.Copies, max(len(b.live), 1), b.warm)
 			if len(b.zoneServers) > 0 && int(s.Zone) != b.set.Zone {
 				weight = 0
@@ -930,38 +823,6 @@
 // floor is the least load of a server, so that trial calls still reach it.
 func (b *Balancer) floor() float64 { return max(floorPart*b.meanLoad, 1000/revisePeriod) }
 
-// reviseLimit applies the paper's rule to the calls that may be out at once, each second: ten are too long
-// for an overload. Only the front sheds: an inner error would waste upstream work. Two signs tell of waiting:
-// slow answers, and a mean well over its least. It sheds when both do, and rises by the mean (by slow answers
-// till there is a least): either lags behind the calls that are out, and servers once driven over stay slow
-// for long. It rises too late where the least mean is from a quieter time.
-func (b *Balancer) reviseLimit() {
-	out := float64(b.out)
-	b.limitAt = b.now + windowTime
-	if b.set.Stage > 0 {
-		return
-	}
-	b.concurrencyLimit = cmp.Or(b.concurrencyLimit, b.initialLimit)
-	p95, ok := b.p95(nil)
-	waits, slow := b.tierLatency/(waitOver*b.leastLatency), p95/shedOver
-	if math.IsInf(b.leastLatency, 1) {
-		waits = slow
-	}
-	b.leastLatency *= 1 + leastDrift
-	switch {
-	case len(b.scratch) == 0 || !ok && math.IsInf(b.leastLatency, 1): // nothing measured
-	case waits > 1 && (slow > 1 || !ok):
-		good, _ := slices.BinarySearch(b.scratch, shedOver)
-		part := float64(good) / float64(len(b.scratch))
-		most := min(b.concurrencyLimit, max(out, b.concurrencyLimit/headroom))
-		b.concurrencyLimit = max(b.initialLimit, decreaseTo*part*most)
-	default:
-		rise := math.Sqrt(1 + max(0, 1-waits*waits))
-		most := max(b.concurrencyLimit, b.initialLimit, headroom*(out+1))
-		b.concurrencyLimit = min(b.concurrencyLimit*rise, most)
-	}
-}
-
 // revise is the paper's rule, every 10 s for each server.
 func (b *Balancer) revise(s *server) {
 	goodput := float64(s.good) * 1000 / max(b.now-s.since, 1)
@@ -994,13 +855,13 @@
 func (b *Balancer) p95(s *server) (float64, bool) {
 	b.scratch = b.scratch[:0]
 	if s != nil {
-		b.window(s.samples[:], s.count)
+		b.recent(s.samples[:], s.count)
 		if len(b.scratch) == 0 {
 			return 0, false
 		}
 	}
 	if len(b.scratch) < windowSamples {
-		b.window(b.pool[:], b.pooled)
+		b.recent(b.pool[:], b.pooled)
 	}
 	if len(b.scratch) < windowSamples {
 		return 0, false
@@ -1009,15 +870,9 @@
 	return b.scratch[int(math.Ceil(tail*float64(len(b.scratch))))-1], true
 }
 
-// window adds the samples of the last second, and older ones while too few are held.
-func (b *Balancer) window(ring []sample, count int) {
-	for i := 0; i < min(count, len(ring)); i++ {
-		sm := ring[(count-1-i)%len(ring)]
-		if sm.at < b.now-revisePeriod || sm.at < b.now-windowTime && len(b.scratch) >= windowSamples {
-			return
-		}
-		b.scratch = append(b.scratch, sm.ratio)
-	}
+// recent adds the samples of the last second, and older ones while too few are held.
+func (b *Balancer) recent(ring []stats.Sample, count int) {
+	b.scratch = stats.Recent(b.scratch, ring, count, b.now-windowTime, b.now-revisePeriod, windowSamples)
 }
 
 // unmeasure lets a server take the others' mean again, as after a good run of trials.
@@ -1057,19 +912,10 @@
 	}
 	b.ejections, b.measured, b.meanLoad = ejected, n, sum/float64(max(n, 1))
 	if serving > 0 {
-		b.concurrencyLimit *= serving / cmp.Or(b.serving, serving)
-		b.serving = serving
+		b.limit.follow(serving)
 	}
 }
 
-// average is a rate a second that forgets with demandTime.
-type average struct{ rate, at float64 }
-
-func (a *average) add(now, n float64) {
-	a.rate = a.rate*math.Exp((a.at-now)/demandTime) + n*1000/demandTime
-	a.at = now
-}
-
 // --- The list of servers.
 
 func (b *Balancer) list(ev *Event) {
@@ -1101,8 +947,8 @@
 	})
 	// Servers come and go for as long as a copy runs: what is gone for good must not be kept.
 	maps.DeleteFunc(b.byID, func(_ uint32, s *server) bool { return !s.listed && s.out == 0 && !s.asked })
-	if b.dealOut(); b.concurrencyLimit == 0 {
-		b.limitAt = b.now // calls that came ahead of the first list must not wait for the next revision
+	if b.dealOut(); b.limit.most == 0 {
+		b.limit.reviseAt = b.now // calls that came ahead of the first list must not wait for the next one
 	}
 }
 
@@ -1146,7 +992,7 @@
 // A copy sees only its own calls, so without this each server is loaded by chance.
 func (b *Balancer) dealOut() {
 	b.recount()
-	b.initialLimit = max(heldLeast, heldFirst*float64(len(b.live))/float64(b.set.Copies))
+	b.limit.initial = max(heldLeast, heldFirst*float64(len(b.live))/float64(b.set.Copies))
 	zones, seen := 1, [256]bool{}
 	b.zoneServers, b.zones = b.zoneServers[:0], 0
 	for _, s := range b.live {
@@ -1161,7 +1007,7 @@
 		}
 	}
 	slices.SortFunc(b.zoneServers, func(a, c *server) int {
-		return cmp.Compare(mix(uint64(a.Server)), mix(uint64(c.Server)))
+		return cmp.Compare(stats.Mix(uint64(a.Server)), stats.Mix(uint64(c.Server)))
 	})
 	copies := max(b.set.Copies/zones, 1)
 	each := float64(len(b.zoneServers)) / float64(copies)
@@ -1213,14 +1059,4 @@
 	b.acts = append(b.acts, Action{Kind: ActTimer, After: max(at-b.now, 0), Token: b.timer})
 }
 
-// random gives the next number in [0, 1) of the seed's stream; mix scrambles (splitmix64).
-func (b *Balancer) random() float64 {
-	b.rng += 0x9e3779b97f4a7c15
-	return float64(mix(b.rng)>>11) / (1 << 53)
-}
-
-func mix(z uint64) uint64 {
-	z = (z ^ z>>30) * 0xbf58476d1ce4e5b9
-	z = (z ^ z>>27) * 0x94d049bb133111eb
-	return z ^ z>>31
-}
+func (b *Balancer) random() float64 { return b.rng.Float64() }
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -9,6 +9,8 @@
 	"strings"
 	"testing"
 	"unicode/utf8"
+
+	"forkline/internal/stats"
 )
 
 // plain gives settings with one class of each effect, for one copy at the front.
@@ -53,6 +55,13 @@
 	return kept
 }
 
+// reviseLimit revises the concurrency limit now.
+func (h *harness) reviseLimit() {
+	p95, ok := h.b.p95(nil)
+	h.b.limit.revise(float64(h.b.out), p95, ok, h.b.scratch)
+	h.b.limit.reviseAt = h.b.now + windowTime
+}
+
 func (h *harness) request(id uint32, class uint16) []Action {
 	return h.do(Event{Kind: EvRequest, Request: id, Class: class, Due: h.now + 1000})
 }
@@ -114,7 +123,7 @@
 	h := start(t, plain(), ids(2)...)
 	s := h.b.live[0]
 	add := func(age, ratio float64) {
-		s.samples[s.count%ringSize] = sample{h.b.now - age, ratio}
+		s.samples[s.count%ringSize] = stats.Sample{At: h.b.now - age, Value: ratio}
 		s.count++
 	}
 	if _, ok := h.b.p95(s); ok {
@@ -144,7 +153,7 @@
 		set := plain()
 		set.Limits = l
 		h := start(t, set, ids(1)...)
-		h.b.concurrencyLimit, h.b.limitAt = 1, math.Inf(1)
+		h.b.limit.most, h.b.limit.reviseAt = 1, math.Inf(1)
 		var last []Action
 		for id := uint32(1); id <= 9; id++ {
 			last = h.request(id, 0)
@@ -158,8 +167,8 @@
 func TestQueueHoldsInOrderAndIsBounded(t *testing.T) {
 	set := plain()
 	h := start(t, set, ids(1)...)
-	h.b.concurrencyLimit, h.b.limitAt = 1, math.Inf(1)
-	h.b.sends = average{20, h.now}
+	h.b.limit.most, h.b.limit.reviseAt = 1, math.Inf(1)
+	h.b.sends = stats.Rate{PerSecond: 20, At: h.now}
 	if acts := h.request(1, 0); len(acts) != 1 || acts[0].Kind != ActSend {
 		t.Fatalf("first call: %+v", acts)
 	}
@@ -182,7 +191,7 @@
 
 func TestCheapCallsAreRefusedFirst(t *testing.T) {
 	h := start(t, plain(), ids(1)...)
-	h.b.concurrencyLimit, h.b.limitAt, h.b.sends = 1, math.Inf(1), average{60, h.now}
+	h.b.limit.most, h.b.limit.reviseAt, h.b.sends = 1, math.Inf(1), stats.Rate{PerSecond: 60, At: h.now}
 	h.request(1, 2)
 	for id := uint32(2); id < 5; id++ {
 		h.request(id, 2)
@@ -227,7 +236,7 @@
 	for id := uint32(1); id <= 8; id++ {
 		h.request(id, 0)
 	}
-	h.b.concurrencyLimit = 40
+	h.b.limit.most = 40
 	left := h.b.live[3]
 	if h.b.out != 8 || left.out == 0 {
 		t.Fatalf("%d calls out, %d at the server that leaves", h.b.out, left.out)
@@ -235,8 +244,8 @@
 	gone := left.ServerEntry
 	gone.State = Draining
 	h.do(Event{Kind: EvList, List: ListDelta, Servers: []ServerEntry{gone}})
-	if h.b.concurrencyLimit != 30 || h.b.out != 8-left.out {
-		t.Errorf("room %v and %d calls out, want 30 and %d", h.b.concurrencyLimit, h.b.out, 8-left.out)
+	if h.b.limit.most != 30 || h.b.out != 8-left.out {
+		t.Errorf("room %v and %d calls out, want 30 and %d", h.b.limit.most, h.b.out, 8-left.out)
 	}
 	for id, q := range h.b.requests { // an answer from there changes nothing any more
 		if q.attempts[0].server == left {
@@ -249,25 +258,25 @@
 	}
 	come := []ServerEntry{{Server: 90, State: Ready}, {Server: 91, State: Draining}}
 	h.do(Event{Kind: EvList, List: ListDelta, Servers: come})
-	if h.b.concurrencyLimit != 40 {
-		t.Errorf("room %v with the fourth server back, want 40", h.b.concurrencyLimit)
+	if h.b.limit.most != 40 {
+		t.Errorf("room %v with the fourth server back, want 40", h.b.limit.most)
 	}
 	h.b.set.Safety.Ramp, h.b.set.Safety.ColdFrom = 1000, 0.4
 	h.do(Event{Kind: EvList, List: ListDelta, Servers: []ServerEntry{{Server: 92, State: Ready, Started: h.now}}})
-	if h.b.concurrencyLimit != 44 {
-		t.Errorf("room %v with a cold fifth server, want 44", h.b.concurrencyLimit)
+	if h.b.limit.most != 44 {
+		t.Errorf("room %v with a cold fifth server, want 44", h.b.limit.most)
 	}
 	for range 3 {
 		h.b.learn(h.b.live[0], 0, Error, 1)
 	}
-	if !h.b.live[0].ejected || math.Round(h.b.concurrencyLimit) != 34 {
-		t.Errorf("room %v with one server cut, want 34", h.b.concurrencyLimit)
+	if !h.b.live[0].ejected || math.Round(h.b.limit.most) != 34 {
+		t.Errorf("room %v with one server cut, want 34", h.b.limit.most)
 	}
 	for range trialGoods {
 		h.b.learn(h.b.live[0], 0, OK, 1)
 	}
-	if h.b.live[0].ejected || math.Round(h.b.concurrencyLimit) != 44 {
-		t.Errorf("room %v with that one back, want 44", h.b.concurrencyLimit)
+	if h.b.live[0].ejected || math.Round(h.b.limit.most) != 44 {
+		t.Errorf("room %v with that one back, want 44", h.b.limit.most)
 	}
 }
 
@@ -285,9 +294,9 @@
 		for range windowSamples {
 			h.b.learn(h.b.live[0], 0, OK, c.took)
 		}
-		h.b.tierLatency, h.b.leastLatency, h.b.concurrencyLimit, h.b.out = c.typical, c.calm, 40, 40
-		if h.b.reviseLimit(); h.b.concurrencyLimit > 40 != c.rises {
-			t.Errorf("%+v: limit %v after 40", c, h.b.concurrencyLimit)
+		h.b.limit.mean, h.b.limit.least, h.b.limit.most, h.b.out = c.typical, c.calm, 40, 40
+		if h.reviseLimit(); h.b.limit.most > 40 != c.rises {
+			t.Errorf("%+v: limit %v after 40", c, h.b.limit.most)
 		}
 	}
 }
@@ -350,13 +359,13 @@
 		set.Classes[i].Aim, set.Classes[i].GiveUp = 1000, 60000
 	}
 	h := start(t, set, ids(1)...)
-	h.b.concurrencyLimit, h.b.limitAt, h.b.serving = 10, math.Inf(1), 2 // for the server that comes back below, too
+	h.b.limit.most, h.b.limit.reviseAt, h.b.limit.serving = 10, math.Inf(1), 2 // for the server that comes back below, too
 	var stuck []Action
 	for id := uint32(1); id <= 20; id++ {
-		h.b.sends.add(h.now, 10) // the queue is long enough
+		h.b.sends.Add(h.now, 10, demandTime) // the queue is long enough
 		stuck = append(stuck, h.do(Event{Kind: EvRequest, Request: id, Class: 2, Due: h.now + 60000})...)
 	}
-	h.b.serving = 2
+	h.b.limit.serving = 2
 	h.do(Event{Kind: EvList, List: ListFull, Servers: ids(2)})
 	silent, other := h.b.live[0], h.b.live[1]
 	h.now += h.b.silence
@@ -364,17 +373,17 @@
 		t.Fatalf("%d calls stuck, %d sent to the other server while the silence is short", len(stuck), other.out)
 	}
 	h.now++
-	if h.do(Event{Kind: EvTimer, Token: h.b.timer}); other.out != 5 || silent.out != 10 || h.b.concurrencyLimit != 5 {
+	if h.do(Event{Kind: EvTimer, Token: h.b.timer}); other.out != 5 || silent.out != 10 || h.b.limit.most != 5 {
 		t.Errorf("%d calls out at the other server in a room of %v, %d at the silent one; want 5 in 5, and 10",
-			other.out, h.b.concurrencyLimit, silent.out)
+			other.out, h.b.limit.most, silent.out)
 	}
 	h.do(Event{Kind: EvOutcome, Request: stuck[0].Request, Server: silent.Server, Outcome: Timeout, Took: 1000})
-	if !silent.silent || h.b.concurrencyLimit != 5 {
+	if !silent.silent || h.b.limit.most != 5 {
 		t.Error("a time-out counts as a sign of life")
 	}
 	h.do(Event{Kind: EvOutcome, Request: stuck[1].Request, Server: silent.Server, Took: 1000, Done: true})
-	if silent.silent || h.b.concurrencyLimit != 10 || h.b.out != silent.out+other.out {
-		t.Errorf("heard of again: silent %v, room %v, %d out", silent.silent, h.b.concurrencyLimit, h.b.out)
+	if silent.silent || h.b.limit.most != 10 || h.b.out != silent.out+other.out {
+		t.Errorf("heard of again: silent %v, room %v, %d out", silent.silent, h.b.limit.most, h.b.out)
 	}
 }
 
@@ -404,15 +413,15 @@
 		set.Classes[i].Aim, set.Classes[i].GiveUp = 1000, 60000
 	}
 	h := start(t, set, ids(2)...)
-	h.b.concurrencyLimit, h.b.limitAt = 10, math.Inf(1)
+	h.b.limit.most, h.b.limit.reviseAt = 10, math.Inf(1)
 	for id := uint32(1); id <= 20; id++ {
-		h.b.sends.add(h.now, 10)
+		h.b.sends.Add(h.now, 10, demandTime)
 		h.do(Event{Kind: EvRequest, Request: id, Class: 2, Due: h.now + 60000})
 	}
 	h.now += 10 * h.b.silence
 	h.do(Event{Kind: EvTimer, Token: h.b.timer})
-	if out := h.b.live[0].out + h.b.live[1].out; out != 10 || h.b.concurrencyLimit != 10 {
-		t.Errorf("%d calls out in a room of %v, want 10 in 10", out, h.b.concurrencyLimit)
+	if out := h.b.live[0].out + h.b.live[1].out; out != 10 || h.b.limit.most != 10 {
+		t.Errorf("%d calls out in a room of %v, want 10 in 10", out, h.b.limit.most)
 	}
 }
 
@@ -422,7 +431,7 @@
 	set := plain()
 	set.Classes[2].Aim, set.Classes[2].GiveUp = 5000, 10000
 	h := start(t, set, ids(4)...)
-	h.b.concurrencyLimit, h.b.limitAt, h.b.pooled, h.b.tierLatency = 100, math.Inf(1), 100, 0.1
+	h.b.limit.most, h.b.limit.reviseAt, h.b.pooled, h.b.tierLatency = 100, math.Inf(1), 100, 0.1
 	for i, s := range h.b.live { // at three calls each, one server answers in two thirds of the others' time
 		s.linked, s.meanLatency, s.meanConcurrency, s.count, s.reviseAt = true, 0.12, 3, ringSize, math.Inf(1)
 		s.measured, s.load = true, 100
@@ -432,7 +441,7 @@
 	}
 	h.b.recount()
 	for id := uint32(1); id <= 36; id++ { // none is answered meanwhile
-		h.b.sends.add(h.now, 10)
+		h.b.sends.Add(h.now, 10, demandTime)
 		h.do(Event{Kind: EvRequest, Request: id, Class: 2, Due: h.now + 10000})
 	}
 	for i, s := range h.b.live {
@@ -997,7 +1006,7 @@
 	if len(further) < 20 {
 		t.Errorf("only %d further attempts: the budget was not used", len(further))
 	}
-	if n := len(h.b.taken.times); n > 1200 {
+	if n := h.b.taken.Held(); n > 1200 {
 		t.Errorf("%d entries kept for a window that holds 270", n)
 	}
 }
@@ -1012,13 +1021,13 @@
 			sent[id] = a.Server
 		}
 	}
-	h.b.concurrencyLimit, h.b.limitAt = 0, math.Inf(1)
+	h.b.limit.most, h.b.limit.reviseAt = 0, math.Inf(1)
 	for id := uint32(1); id <= 2; id++ {
 		if acts := h.do(Event{Kind: EvOutcome, Request: id, Server: sent[id], Outcome: Full, Took: 1}); len(acts) != 0 {
 			t.Fatalf("want both to wait: %+v", acts)
 		}
 	}
-	h.b.concurrencyLimit = 10
+	h.b.limit.most = 10
 	acts := h.do(Event{Kind: EvTimer})
 	if len(acts) != 2 || acts[0].Kind != ActSend || acts[1].Kind != ActRefuse {
 		t.Errorf("want one sent and one refused: %+v", acts)
@@ -1161,17 +1170,17 @@
 				}
 				h.b.learn(s, 0, out, took)
 				s.ejected, s.run = false, 0
-				h.b.sends.add(h.now, 1)
+				h.b.sends.Add(h.now, 1, demandTime)
 				h.b.out = 40
-				if h.now >= h.b.limitAt {
-					h.b.reviseLimit()
+				if h.now >= h.b.limit.reviseAt {
+					h.reviseLimit()
 				}
 				if i == 3000 {
-					before = h.b.concurrencyLimit
+					before = h.b.limit.most
 				}
 			}
-			if shed := h.b.concurrencyLimit < before; shed != c.shed || before < 40 {
-				t.Errorf("room went from %.1f to %.1f", before, h.b.concurrencyLimit)
+			if shed := h.b.limit.most < before; shed != c.shed || before < 40 {
+				t.Errorf("room went from %.1f to %.1f", before, h.b.limit.most)
 			}
 		})
 	}
@@ -1255,7 +1264,7 @@
 	if acts := h.request(1, 2); len(acts) != 1 || acts[0].Kind != ActSend {
 		t.Fatalf("with a free server: %+v", acts)
 	}
-	h.b.concurrencyLimit, h.b.limitAt, h.b.sends = 1, math.Inf(1), average{20, h.now}
+	h.b.limit.most, h.b.limit.reviseAt, h.b.sends = 1, math.Inf(1), stats.Rate{PerSecond: 20, At: h.now}
 	if acts := h.request(2, 2); len(acts) != 0 {
 		t.Errorf("want the call to wait: %+v", acts)
 	}
@@ -1281,10 +1290,10 @@
 			h.b.learn(s, 0, OK, took)
 			s.ejected, s.run = false, 0
 			h.b.out = 25
-			h.b.reviseLimit()
+			h.reviseLimit()
 		}
-		if rose := h.b.concurrencyLimit > h.b.initialLimit; rose != (slow == 1) {
-			t.Errorf("answers %v times slower: room %.1f of %.1f at first", slow, h.b.concurrencyLimit, h.b.initialLimit)
+		if rose := h.b.limit.most > h.b.limit.initial; rose != (slow == 1) {
+			t.Errorf("answers %v times slower: room %.1f of %.1f at first", slow, h.b.limit.most, h.b.limit.initial)
 		}
 	}
 }
@@ -1354,7 +1363,7 @@
 	entries[9].Started = 1000
 	h := start(t, plain(), entries...)
 	s := h.b.byID[entries[9].Server]
-	h.b.arrivals = average{100, h.now}
+	h.b.arrivals = stats.Rate{PerSecond: 100, At: h.now}
 	h.b.measured, h.b.meanLoad = 1, 1e6
 	for _, age := range []float64{0, 5000, 19999} {
 		h.b.now = 1000 + age
@@ -1374,7 +1383,7 @@
 	set := plain()
 	set.Tenants = []Tenant{{Quota: 1}, {Quota: 1000}}
 	h := start(t, set, ids(4)...)
-	h.b.concurrencyLimit, h.b.limitAt, h.b.sends = 20, math.Inf(1), average{1000, h.now}
+	h.b.limit.most, h.b.limit.reviseAt, h.b.sends = 20, math.Inf(1), stats.Rate{PerSecond: 1000, At: h.now}
 	h.b.out = 12
 	ask := func(id uint32, tenant uint16) []Action {
 		return h.do(Event{Kind: EvRequest, Request: id, Tenant: tenant, Due: h.now + 1000})
@@ -1417,8 +1426,8 @@
 	if len(h.b.byID) > 2000 || len(h.b.live) != 1000 || len(h.b.closing) > 2000 {
 		t.Errorf("%d servers known, %d live, %d to be closed", len(h.b.byID), len(h.b.live), len(h.b.closing))
 	}
-	if len(h.b.requests) != 0 || len(h.b.spare) > 100 || len(h.b.taken.times) > 20000 {
-		t.Errorf("%d calls held, %d spare, %d taken", len(h.b.requests), len(h.b.spare), len(h.b.taken.times))
+	if len(h.b.requests) != 0 || len(h.b.spare) > 100 || h.b.taken.Held() > 20000 {
+		t.Errorf("%d calls held, %d spare, %d taken", len(h.b.requests), len(h.b.spare), h.b.taken.Held())
 	}
 }
 
--- /dev/null
+++ b/internal/stats/stats.go
@@ -0,0 +1,58 @@
+// Package stats holds the small statistics that decisions rest on. Nothing in it has a clock: every time is the
+// caller's, in milliseconds, and must not go back.
+package stats
+
+import "math"
+
+// Rate is a rate of events a second that forgets exponentially. The zero Rate has seen none.
+type Rate struct {
+	PerSecond float64 // as of the last event
+	At        float64 // time of that
+}
+
+// Add counts n events, with the time constant of forgetting in ms.
+func (r *Rate) Add(now, n, memory float64) {
+	r.PerSecond = r.PerSecond*math.Exp((r.At-now)/memory) + n*1000/memory
+	r.At = now
+}
+
+// Window counts events within a sliding window. It is exact: a bucket that refills would let a full one and its
+// refill through within one window. Entries that have left the window are dropped in bulk.
+type Window struct {
+	times []float64
+	first int
+}
+
+// Add counts one event.
+func (w *Window) Add(now float64) { w.times = append(w.times, now) }
+
+// Since counts the events from a time on, and forgets older ones.
+func (w *Window) Since(from float64) int {
+	for w.first < len(w.times) && w.times[w.first] < from {
+		w.first++
+	}
+	if w.first > len(w.times)/2 {
+		w.times = w.times[:copy(w.times, w.times[w.first:])]
+		w.first = 0
+	}
+	return len(w.times) - w.first
+}
+
+// Held is how many events are held, for tests of memory.
+func (w *Window) Held() int { return len(w.times) }
+
+// Sample is one measured value.
+type Sample struct{ At, Value float64 }
+
+// Recent appends the values of a ring that holds count samples, or the last of them: those taken since a time, and
+// older ones, but none from before the oldest time, while fewer than enough are held.
+func Recent(values []float64, ring []Sample, count int, since, oldest float64, enough int) []float64 {
+	for i := range min(count, len(ring)) {
+		s := ring[(count-1-i)%len(ring)]
+		if s.At < oldest || s.At < since && len(values) >= enough {
+			break
+		}
+		values = append(values, s.Value)
+	}
+	return values
+}
--- a/ramp.go
+++ b/ramp.go
@@ -2,7 +2,11 @@
 
 package forkline
 
-import "math"
+import (
+	"math"
+
+	"forkline/internal/stats"
+)
 
 const (
 	rampCopies  = 32.0       // copies that may send to a cold server, at least: uneven traffic evens out
@@ -24,9 +28,9 @@
 // or was restarted comes to the order of the others.
 func newRamp(set *Settings, e *ServerEntry, demand float64) ramp {
 	r := ramp{demand: demand}
-	key := mix(uint64(e.Server) ^ mix(math.Float64bits(e.Started)))
+	key := stats.Mix(uint64(e.Server) ^ stats.Mix(math.Float64bits(e.Started)))
 	for rank := range set.Copies {
-		if mix(key+uint64(rank)) < mix(key+uint64(set.Rank)) {
+		if stats.Mix(key+uint64(rank)) < stats.Mix(key+uint64(set.Rank)) {
 			r.place++
 		}
 	}
--- a/reconfigure_test.go
+++ b/reconfigure_test.go
@@ -179,9 +179,9 @@
 // A safe request that waits to be repeated must not block the queue, nor go out, when its class becomes unsafe.
 func TestAWaitingRepeatEndsWithItsRule(t *testing.T) {
 	h := start(t, plain(), ids(2)...)
-	h.b.limitAt = math.Inf(1)
+	h.b.limit.reviseAt = math.Inf(1)
 	h.request(1, 0)
-	h.b.concurrencyLimit = 0 // crowded from here on
+	h.b.limit.most = 0 // crowded from here on
 	if acts := h.do(Event{Kind: EvOutcome, Request: 1, Server: h.b.requests[1].attempts[0].server.Server, Outcome: Reset, Took: 5}); len(acts) > 0 {
 		t.Fatalf("it must wait: %+v", acts)
 	}
@@ -190,7 +190,7 @@
 	if len(acts) != 1 || acts[0].Kind != ActFail || acts[0].Request != 1 {
 		t.Errorf("%+v, want that request 1 has failed", acts)
 	}
-	h.b.concurrencyLimit = 9
+	h.b.limit.most = 9
 	if acts := h.do(Event{Kind: EvTimer}); len(acts) != 1 || acts[0].Kind != ActSend || acts[0].Request != 2 {
 		t.Errorf("%+v, want that request 2 goes out", acts)
 	}
@@ -250,7 +250,7 @@
 	if s.load != server.load || s.credit < server.credit || s.count != server.count || s.samples != server.samples || s.good != server.good {
 		t.Error("what was learned of a server is lost")
 	}
-	if h.b.concurrencyLimit != was.concurrencyLimit || h.b.pooled != was.pooled || h.b.sends != was.sends || len(h.b.taken.times) != len(was.taken.times) {
+	if h.b.limit.most != was.limit.most || h.b.pooled != was.pooled || h.b.sends != was.sends || h.b.taken.Held() != was.taken.Held() {
 		t.Error("what was learned of the tier is lost")
 	}
 	if q := h.b.requests[60]; q.due != due || q.aimAt != aimAt {
@@ -260,8 +260,8 @@
 		t.Errorf("mean ratio %v of before, want 2 with half the threshold", got)
 	}
 	h.b.learn(s, 0, OK, 200) // the aim is 250, the threshold 175
-	if last := s.samples[(s.count-1)%ringSize]; math.Abs(last.ratio-200/175.0) > 1e-9 {
-		t.Errorf("ratio %v", last.ratio)
+	if last := s.samples[(s.count-1)%ringSize]; math.Abs(last.Value-200/175.0) > 1e-9 {
+		t.Errorf("ratio %v", last.Value)
 	}
 	if h.b.meanAim != 250 || h.b.silence != 175 {
 		t.Errorf("mean aim %v, silence %v", h.b.meanAim, h.b.silence)
@@ -302,8 +302,8 @@
 			t.Errorf("server %d: share %v and place %d, want %v and %d", s.Server, s.subsetShare, s.ramp.place, f.subsetShare, f.ramp.place)
 		}
 	}
-	if h.b.initialLimit != fresh.b.initialLimit {
-		t.Errorf("initial limit %v, want %v", h.b.initialLimit, fresh.b.initialLimit)
+	if h.b.limit.initial != fresh.b.limit.initial {
+		t.Errorf("initial limit %v, want %v", h.b.limit.initial, fresh.b.limit.initial)
 	}
 }
 
@@ -458,7 +458,7 @@
 // Calls that wait are looked through at once: by the new settings one may have to go out sooner, or end.
 func TestWaitingCallsAreLookedThrough(t *testing.T) {
 	h := start(t, plain(), ids(1)...)
-	h.b.limitAt, h.b.concurrencyLimit, h.b.classes[0].latency = math.Inf(1), 0, 400
+	h.b.limit.reviseAt, h.b.limit.most, h.b.classes[0].latency = math.Inf(1), 0, 400
 	h.request(1, 0) // its aim is in 500 ms, and its answer takes 350 of them at most
 	h.reconfigure(func(s *Settings) { s.Classes[0].Aim = 900 })
 	h.now += 120
--- a/settings.go
+++ b/settings.go
@@ -49,7 +49,7 @@
 		}
 	}
 	if was > 0 { // the mean ratios, as if the thresholds had always been these: they are compared with later ones
-		b.tierLatency, b.leastLatency = b.tierLatency*is/was, b.leastLatency*is/was
+		b.tierLatency, b.limit.mean, b.limit.least = b.tierLatency*is/was, b.limit.mean*is/was, b.limit.least*is/was
 		for _, s := range b.byID {
 			s.meanLatency *= is / was
 		}
