Keep the group of a keyed request as it was when its first attempt was sent

Cause: permitted compared the zone and the cell of the first attempt's server as the list tells them now (retry.go, outside; sameGroup). A list change that moved the server in between, also one by which it was gone and came back, let the repeat go to servers that do not remember the request, and it could run twice.

Change: an attempt keeps zone and cell of its server as of its send. The property test moves servers between zones and cells, and holds repeats to the group of the send. Settings that renumber zones were safe already (unrepeated).

--- a/balancer.go
+++ b/balancer.go
@@ -103,6 +103,8 @@
 // attempt is one send of a request.
 type attempt struct {
 	server  *server
+	zone    uint8  // of the server when it was sent: a later list may tell another one, but the
+	cell    uint16 // group that remembers the request is that of then
 	sentAt  float64
 	held    float64 // calls the server held with it, as far as told
 	open    bool
@@ -566,7 +568,9 @@
 		s.held = 0 // an old figure says nothing of this call's wait
 	}
 	q.open++
-	q.attempts = append(q.attempts, attempt{server: s, sentAt: b.now, held: s.held, open: true})
+	q.attempts = append(q.attempts, attempt{
+		server: s, zone: s.Zone, cell: s.Cell, sentAt: b.now, held: s.held, open: true,
+	})
 	if wait := b.tryTimeout(q, s); wait > 0 {
 		b.setHedge(hedgeTimer{b.now + wait, q.id, uint16(len(q.attempts) - 1)})
 	}
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -520,6 +520,53 @@
 	}
 }
 
+// The group that remembers a keyed request is that which its server was in when the request was sent, whatever a later
+// list tells of that server, and also once the server is gone and has come back.
+func TestKeyedStaysInTheGroupItWasSentTo(t *testing.T) {
+	moved := func(s ServerEntry) []ServerEntry { s.Zone, s.Cell = 1, 3; return []ServerEntry{s} }
+	for name, lists := range map[string]func(s ServerEntry) [][]ServerEntry{
+		"moved": func(s ServerEntry) [][]ServerEntry { return [][]ServerEntry{moved(s)} },
+		"moved and started anew": func(s ServerEntry) [][]ServerEntry {
+			s.Started = 1040
+			return [][]ServerEntry{moved(s)}
+		},
+		"gone, and back elsewhere": func(s ServerEntry) [][]ServerEntry {
+			gone := s
+			gone.State = Gone
+			return [][]ServerEntry{{gone}, moved(s)}
+		},
+	} {
+		for _, group := range []Group{GroupZone, GroupCell} {
+			set, servers := plain(), ids(8)
+			set.Classes[1].Group = group
+			for i := range servers {
+				servers[i].Zone = uint8(i / 4)
+			}
+			h := start(t, set, servers...)
+			first := h.request(1, 1)
+			for h.b.requests[1].attempts[0].cell != 0 { // the move below is out of its group
+				id := uint32(len(h.b.requests) + 1)
+				if first = h.request(id, 1); h.b.requests[id].attempts[0].cell == 0 {
+					first[0].Request = id
+					break
+				}
+			}
+			h.now += 50
+			sent := servers[first[0].Server-100]
+			for _, list := range lists(sent) {
+				h.do(Event{Kind: EvList, List: ListDelta, Servers: list})
+			}
+			ev := Event{Kind: EvOutcome, Request: first[0].Request, Server: sent.Server, Outcome: Reset, Took: 50}
+			for _, a := range h.do(ev) {
+				to := servers[max(a.Server, 100)-100]
+				if a.Kind == ActSend && (group == GroupZone && to.Zone != 0 || group == GroupCell && to.Cell != 0) {
+					t.Errorf("%s, group %d: sent to %+v after %+v", name, group, to, sent)
+				}
+			}
+		}
+	}
+}
+
 func TestKeyedIsNotRepeatedAfterItsWindow(t *testing.T) {
 	h := start(t, plain(), ids(8)...)
 	first := h.request(1, 1)
--- a/property_test.go
+++ b/property_test.go
@@ -17,6 +17,8 @@
 
 type try struct {
 	server uint32
+	zone   uint8 // of the server when the attempt was sent
+	cell   uint16
 	sentAt float64
 	open   bool
 	maybe  bool // may have run
@@ -138,7 +140,7 @@
 	for _, class := range c.under {
 		w.checkRepeat(a, c, s, class)
 	}
-	c.attempts = append(c.attempts, try{server: a.Server, sentAt: w.now, open: true})
+	c.attempts = append(c.attempts, try{server: a.Server, zone: s.Zone, cell: s.Cell, sentAt: w.now, open: true})
 }
 
 // checkRepeat checks a send by the rules of one class.
@@ -155,13 +157,12 @@
 		if first == 0 {
 			first = p.sentAt
 		}
-		before := w.entry(p.server)
 		switch {
 		case class.Effect == Unsafe:
 			w.t.Fatalf("%v: unsafe request %d may have run and was sent again", w.now, a.Request)
 		case w.now >= first+class.Window:
 			w.t.Fatalf("%v: keyed request %d sent again after its window", w.now, a.Request)
-		case class.Group == GroupCell && before.Cell != s.Cell || class.Group == GroupZone && before.Zone != s.Zone:
+		case class.Group == GroupCell && p.cell != s.Cell || class.Group == GroupZone && p.zone != s.Zone:
 			w.t.Fatalf("%v: keyed request %d sent outside its group", w.now, a.Request)
 		}
 	}
@@ -310,11 +311,13 @@
 		Outcome: out, Took: w.now - p.sentAt, Done: c.over})
 }
 
-// change drains, removes, restarts or adds a server.
+// change drains, removes, restarts, adds or moves a server.
 func (w *world) change() {
 	e := &w.servers[w.rng.IntN(len(w.servers))]
 	delete(w.used, e.Server)
-	switch w.rng.IntN(4) {
+	switch w.rng.IntN(5) {
+	case 4:
+		e.Zone, e.Cell = uint8(w.rng.IntN(2)), uint16(w.rng.IntN(2))
 	case 0:
 		if e.State != Draining && w.set.Safety.DrainClose > 0 {
 			w.used[e.Server] = w.now
--- a/retry.go
+++ b/retry.go
@@ -84,10 +84,11 @@
 	if !q.mayRun || c.Effect == Safe {
 		return true
 	}
-	outside := func(a attempt) bool { return a.sentAt >= q.firstRun && !sameGroup(c.Group, a.server, s) }
+	outside := func(a attempt) bool { return a.sentAt >= q.firstRun && !c.Group.remembers(&a, s) }
 	return c.Effect == Keyed && b.now < q.firstRun+c.Window && !slices.ContainsFunc(q.attempts, outside)
 }
 
-func sameGroup(g Group, a, s *server) bool {
-	return (g&GroupZone == 0 || a.Zone == s.Zone) && (g&GroupCell == 0 || a.Cell == s.Cell)
+// remembers tells whether a server is in the group that an attempt was sent to.
+func (g Group) remembers(a *attempt, s *server) bool {
+	return (g&GroupZone == 0 || a.zone == s.Zone) && (g&GroupCell == 0 || a.cell == s.Cell)
 }
