Look at a repeat's time before its last byte, not only before its first

Cause: exchange compared the time with Action.Begin before the first byte only. The last byte of a long request goes by itself (atOnce) and makes it whole: with a socket buffer that was full, or bytes ahead that the endpoint's machine had not taken, a keyed repeat became whole after its class's window and could run twice. Seen by reading, and forced by TestALongRepeatIsNotWholeTooLate, which fails in both cases without the change. Ruled out: drains, for which the time of a send counts from its first byte.

Change: Action.Begin becomes Action.Whole, the latest time of the last byte.

--- a/api.go
+++ b/api.go
@@ -241,7 +241,7 @@
 
 // The actions a balancer asks for.
 const (
-	ActSend   ActionKind = iota + 1 // Request, Server, Until, Begin: start an attempt
+	ActSend   ActionKind = iota + 1 // Request, Server, Until, Whole: start an attempt
 	ActRefuse                       // Request, After: final; trying again is harmless, best after that time
 	ActFail                         // Request: final; promises nothing
 	ActCancel                       // Request, Attempt: stop waiting for an attempt
@@ -260,7 +260,7 @@
 	Server  uint32
 	Token   uint64
 	Until   float64 // clock time at which the attempt is given up
-	Begin   float64 // latest clock time for the attempt's first byte; 0 = any
+	Whole   float64 // latest clock time for the attempt's last byte; 0 = any
 	After   float64 // time from now
 	Text    string
 }
--- a/balancer.go
+++ b/balancer.go
@@ -576,7 +576,7 @@
 	}
 	act := Action{Kind: ActSend, Request: q.id, Server: s.Server, Until: q.due}
 	if c := &b.classes[q.class]; q.mayRun && c.Effect == Keyed {
-		act.Begin = q.firstRun + c.Window // a slow connection must not carry a repeat past it
+		act.Whole = q.firstRun + c.Window // a slow connection must not carry a repeat past it
 	}
 	b.acts = append(b.acts, act)
 	return true
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -578,8 +578,8 @@
 }
 
 // A repeat that is decided on in time may be carried late, by a connection that comes up slowly. So it says how late
-// it may begin; no other attempt is bound so.
-func TestARepeatBeginsWithinItsWindow(t *testing.T) {
+// it may be whole; no other attempt is bound so.
+func TestARepeatIsWholeWithinItsWindow(t *testing.T) {
 	h := start(t, plain(), ids(8)...)
 	for id, class := range []uint16{0, 1} {
 		request := uint32(id + 1)
@@ -595,8 +595,8 @@
 		if class == 1 {
 			want = at + 300
 		}
-		if first[0].Begin != 0 || again[0].Begin != want {
-			t.Errorf("class %d: begin by %v, again by %v, want 0 and %v", class, first[0].Begin, again[0].Begin, want)
+		if first[0].Whole != 0 || again[0].Whole != want {
+			t.Errorf("class %d: whole by %v, again by %v, want 0 and %v", class, first[0].Whole, again[0].Whole, want)
 		}
 	}
 }
--- a/internal/fleet/process.go
+++ b/internal/fleet/process.go
@@ -248,10 +248,10 @@
 	}
 	f.sent(s, fresh)
 	f.at(a.until, evExpire, n, a.gen, 0)
-	begin := int64(action.Begin * 1e6)
+	whole := int64(action.Whole * 1e6)
 	switch {
-	case begin > 0 && fresh && f.now+handshake*delay/(1+handshake) > begin: // its connection is up too late
-		f.answerAt(n, forkline.NotSent, max(begin, f.now))
+	case whole > 0 && fresh && f.now+handshake*delay/(1+handshake) > whole: // its connection is up too late
+		f.answerAt(n, forkline.NotSent, max(whole, f.now))
 	case !current || !e.up && !e.silent: // its machine is there and refuses
 		f.answerAt(n, forkline.ConnectFailed, f.now+2*delay/(1+handshake))
 	case !e.up || !f.net.reaches(p.region, e.region): // nothing answers
--- /dev/null
+++ b/internal/sidecar/exchange_test.go
@@ -0,0 +1,92 @@
+package sidecar
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"forkline"
+)
+
+// stuck is an endpoint that takes a few KiB in and then nothing, until it is told to read on.
+func stuck(t *testing.T) net.Listener {
+	t.Helper()
+	few := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
+		return c.Control(func(fd uintptr) { syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4<<10) })
+	}}
+	ln, err := few.Listen(context.Background(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	return ln
+}
+
+// A long repeat that cannot be whole at its endpoint in time must never be whole there: its last byte stays here, also
+// where the machine has room for it behind the bytes that are stuck.
+func TestALongRepeatIsNotWholeTooLate(t *testing.T) {
+	for name, late := range map[string]func(c net.Conn){
+		"behind a full socket buffer": func(c net.Conn) { c.(*net.TCPConn).SetWriteBuffer(4 << 10) },
+		"behind unacknowledged bytes": func(c net.Conn) { c.(*net.TCPConn).SetWriteBuffer(4 * maxBody) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			ln := stuck(t)
+			whole, goOn := make(chan bool, 1), make(chan struct{})
+			go func() {
+				c, err := ln.Accept()
+				if err != nil {
+					return
+				}
+				defer c.Close()
+				<-goOn
+				req, err := http.ReadRequest(bufio.NewReader(c))
+				if err == nil {
+					_, err = req.Body.Read(make([]byte, 1))
+					for err == nil {
+						_, err = req.Body.Read(make([]byte, maxBody))
+					}
+				}
+				whole <- err != nil && err.Error() == "EOF"
+			}()
+			raw, err := net.Dial("tcp", ln.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer raw.Close()
+			late(raw)
+			out := get()
+			out.start, out.body = "POST /add/x HTTP/1.1\r\nHost: backend.local\r\n", make([]byte, maxBody)
+			a := newAttempt(time.Time{})
+			a.whole = time.Now().Add(100 * time.Millisecond)
+			readOn := sync.OnceFunc(func() { close(goOn) })
+			defer time.AfterFunc(200*time.Millisecond, readOn).Stop()
+			got, _, keep := exchange(a, &conn{Conn: raw, reader: bufio.NewReader(raw)}, out, time.Now().Add(5*time.Second), 0)
+			raw.Close()
+			readOn()
+			if got != forkline.ConnectFailed || keep {
+				t.Errorf("outcome %v, connection kept: %v", got, keep)
+			}
+			if <-whole {
+				t.Error("the request was whole at its endpoint")
+			}
+		})
+	}
+}
+
+// Where there is time, a long repeat waits until its endpoint has taken in what is ahead of its last byte.
+func TestALongRepeatIsServedInTime(t *testing.T) {
+	ln := script(t, echo)
+	u := pool(ln.Addr().String(), 4)
+	out := get()
+	out.start, out.body = "POST /add/x HTTP/1.1\r\nHost: backend.local\r\n", make([]byte, maxBody)
+	a := newAttempt(time.Time{})
+	a.whole = time.Now().Add(long)
+	if got, _ := u.do(a, u.find(1), out, time.Now().Add(long)); got != forkline.OK {
+		t.Errorf("outcome %v", got)
+	}
+}
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -299,10 +299,10 @@
 	if l.up.grace > 0 {
 		begin = sent.Add(l.up.grace)
 	}
-	if latest := l.time(act.Begin); act.Begin > 0 && (begin.IsZero() || latest.Before(begin)) {
-		begin = latest
-	}
 	a, e, number, out := newAttempt(begin), l.up.find(server), len(c.attempts), c.out
+	if act.Whole > 0 {
+		a.whole = l.time(act.Whole)
+	}
 	a.left = c.hasLeft
 	c.attempts = append(c.attempts, a)
 	c.open++
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -2,16 +2,12 @@
 
 import (
 	"bufio"
-	"bytes"
 	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"net"
-	"net/http"
-	"os"
 	"slices"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -28,29 +24,10 @@
 	defaultIdle = 5 * time.Second
 	defaultDial = 250 * time.Millisecond
 	leastTrust  = 50 * time.Millisecond // nothing drops a connection for having been idle for less
-	dropTime    = 25 * time.Millisecond // a dropped connection breaks under a request this soon; later, its server failed
-	holdTime    = time.Millisecond      // for a broken connection to show: a few round trips within a data centre
 	restTime    = 10 * time.Millisecond // before a connection is used again: a second answer comes some ms behind the first
-	atOnce      = 8 << 10               // bytes that a connection takes without waiting for its peer
 	regainTrust = 32                    // reuses in a row, each after longer than is trusted, that double what is trusted
 )
 
-// outgoing is what every attempt of a request sends, but for the time left.
-type outgoing struct {
-	start  string // request line and Host
-	header http.Header
-	body   []byte
-	once   bool // it must never run twice
-}
-
-// answer is a whole answer for a client.
-type answer struct {
-	status     int
-	header     http.Header
-	body       []byte
-	retryAfter time.Duration
-}
-
 // endpoint is one server of the list and the idle connections to it. Its fields are guarded by upstream.mu.
 type endpoint struct {
 	addr    string
@@ -169,39 +146,6 @@
 	return u.endpoints[id]
 }
 
-// attempt is the handle on one send of a request.
-type attempt struct {
-	ctx    context.Context
-	cancel context.CancelFunc
-	begin  time.Time   // latest time for its first byte; zero for any
-	left   func() bool // looks whether the request's client has left; nil = it never does
-	mu     sync.Mutex
-	off    bool // called off
-}
-
-func newAttempt(begin time.Time) *attempt {
-	a := &attempt{begin: begin}
-	a.ctx, a.cancel = context.WithCancel(context.Background())
-	return a
-}
-
-// callOff ends the attempt: nothing is written for it any more and its connection is closed.
-func (a *attempt) callOff() {
-	a.mu.Lock()
-	a.off = true
-	a.mu.Unlock()
-	a.cancel()
-}
-
-// claim tells whether the request may be written now: by then it was not called off, nor has its client left. It is
-// asked right before the first byte and right before the last one, as the news of either may still be on its way.
-func (a *attempt) claim() bool {
-	a.mu.Lock()
-	off := a.off
-	a.mu.Unlock()
-	return !off && (a.left == nil || !a.left())
-}
-
 // do carries one attempt out and tells how it ended, as the module names it.
 func (u *upstream) do(a *attempt, e *endpoint, out *outgoing, until time.Time) (forkline.Outcome, *answer) {
 	defer a.cancel()
@@ -230,110 +174,6 @@
 	}
 }
 
-// exchange writes the request, waits for the answer and tells whether the connection can be used again.
-func exchange(a *attempt, c *conn, out *outgoing, until time.Time, hold time.Duration) (forkline.Outcome, *answer, bool) {
-	c.SetDeadline(until)
-	var text bytes.Buffer
-	text.Grow(len(out.start) + len(out.body) + 512)
-	text.WriteString(out.start)
-	out.header.WriteSubset(&text, map[string]bool{"X-Deadline": true})
-	left := max(time.Until(until), 0).Truncate(time.Millisecond) // rounded up, it would tell more than there is
-	fmt.Fprintf(&text, "X-Deadline: %.3f\r\n", left.Seconds())
-	if len(out.body) > 0 || !strings.HasPrefix(out.start, "GET ") {
-		fmt.Fprintf(&text, "Content-Length: %d\r\n", len(out.body))
-	}
-	text.WriteString("\r\n")
-	text.Write(out.body)
-	if !a.claim() {
-		return unclaimed(a), nil, c.idle == 0 // one that was idle already must not look as if just used
-	}
-	if !a.begin.IsZero() && time.Now().After(a.begin) {
-		return forkline.ConnectFailed, nil, c.idle == 0 // its endpoint may have been told to drain meanwhile
-	}
-	whole := text.Bytes()
-	// Nothing has run before the last byte is there. That of a request that must not run twice waits until a broken
-	// connection would show.
-	if !out.once {
-		hold = 0
-	}
-	if out.once || len(whole) > atOnce {
-		last := len(whole) - 1
-		if err := write(c, whole[:last], hold); err != nil {
-			c.dropped = brokenOff(a, err, forkline.Reset) == forkline.Reset
-			return brokenOff(a, err, forkline.ConnectFailed), nil, false
-		}
-		if c.idle > 0 && c.reader.Buffered() > 0 { // a second answer to a request before
-			c.spoilt = true
-			return forkline.ConnectFailed, nil, false
-		}
-		whole = whole[last:]
-		c.SetDeadline(until)
-		if !a.claim() {
-			return unclaimed(a), nil, false
-		}
-	}
-	if err := write(c, whole, 0); err != nil {
-		c.dropped = brokenOff(a, err, forkline.Reset) == forkline.Reset
-		return brokenOff(a, err, forkline.ConnectFailed), nil, false
-	}
-	written := time.Now()
-	if _, err := c.reader.Peek(1); err != nil {
-		outcome := brokenOff(a, err, forkline.Reset)
-		c.dropped = outcome == forkline.Reset && time.Since(written) < dropTime
-		return outcome, nil, false
-	}
-	// What cannot be read whole may have run, whatever its head says.
-	status, m, body, err := readAnswer(c.reader)
-	if err != nil {
-		return brokenOff(a, err, forkline.Reset), nil, false
-	}
-	// Bytes behind a sound answer do not spoil it, but no answer read after them can be trusted.
-	keep := m.lasts() && c.reader.Buffered() == 0 && stillOpen(c.Conn)
-	switch {
-	case status == http.StatusOK:
-		return forkline.OK, &answer{status: status, header: endToEnd(m.header), body: body}, keep
-	case (status == http.StatusServiceUnavailable || status == http.StatusGatewayTimeout) && m.header.Get("X-Not-Run") == "1":
-		return forkline.Full, nil, keep
-	case status/100 == 4: // the request's own fault: no other endpoint would serve it, and this one is sound
-		return forkline.Cancelled, &answer{status: status}, keep
-	}
-	return forkline.Error, nil, keep
-}
-
-// unclaimed names the outcome of an attempt that claim has stopped.
-func unclaimed(a *attempt) forkline.Outcome {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.off {
-		return forkline.Cancelled
-	}
-	return forkline.NotSent // its client has left
-}
-
-// write writes all of the text, and then looks for so long whether the connection breaks.
-func write(c *conn, text []byte, look time.Duration) error {
-	if n, err := c.Write(text); n < len(text) || look <= 0 {
-		return err
-	}
-	c.SetReadDeadline(time.Now().Add(look))
-	if _, err := c.reader.Peek(1); err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
-		return err
-	}
-	return nil
-}
-
-// brokenOff names the outcome of an exchange that ended with an error: called off, out of time, or broken.
-// A request that was not written whole never ran, whatever stopped it.
-func brokenOff(a *attempt, err error, broken forkline.Outcome) forkline.Outcome {
-	switch {
-	case a.ctx.Err() != nil:
-		return forkline.Cancelled
-	case broken == forkline.Reset && errors.Is(err, os.ErrDeadlineExceeded):
-		return forkline.Timeout
-	}
-	return broken
-}
-
 var errPoolExhausted = errors.New("the pool is at its limit and none of its connections is idle")
 
 // connect takes an idle connection that is still open, waits out the rest of one that was used just now, or dials.
--- a/internal/sidecar/upstream_test.go
+++ b/internal/sidecar/upstream_test.go
@@ -380,7 +380,7 @@
 	}
 }
 
-// The module says how late a repeat may begin; the sidecar keeps to it, also where a drain leaves more time or none is
+// The module says how late a repeat may be whole; the sidecar keeps to it, also where a drain leaves more time or none is
 // told. A late repeat has not run: its call is over or goes elsewhere.
 func TestALateRepeatStaysIn(t *testing.T) {
 	for _, grace := range []float64{0, 1e6} {
@@ -394,7 +394,7 @@
 			t.Fatal(err)
 		}
 		now := l.now()
-		l.send(&call{out: *get()}, &forkline.Action{Kind: forkline.ActSend, Server: 1, Until: now + 1e6, Begin: now - 1})
+		l.send(&call{out: *get()}, &forkline.Action{Kind: forkline.ActSend, Server: 1, Until: now + 1e6, Whole: now - 1})
 		(<-l.mail)()
 		if len(requests) != 0 || len(u.find(1).idle) != 1 {
 			t.Errorf("grace %v: the request went out, or its connection was not kept", grace)
