Take a turned-away answer for a proof only if it can speak of no other request

Cause: exchange took any 503 or 504 with X-Not-Run: 1 for the answer to the request on its connection, and put the connection back into use. A second copy of such an answer, later than restTime, was taken for the next request's: it was sent once more though it may have been running. Seen by reading, and forced by TestASecondTurningAwayProvesNothing, which fails without the change for a keyed and an unsafe request.

Change: a connection remembers that it brought such an answer; a further one on it proves nothing of a request that may not simply run twice, and ends the connection.

--- a/internal/sidecar/exchange.go
+++ b/internal/sidecar/exchange.go
@@ -33,6 +33,7 @@
 	header http.Header
 	body   []byte
 	once   bool // it must never run twice
+	safe   bool // it may run any number of times
 }
 
 // answer is a whole answer for a client.
@@ -125,7 +126,7 @@
 		c.dropped = outcome == forkline.Reset && time.Since(written) < dropTime
 		return outcome, nil, false
 	}
-	return readResponse(a, c)
+	return readResponse(a, c, out)
 }
 
 // text is the request as it is written, with the time that is left.
@@ -190,7 +191,7 @@
 }
 
 // readResponse reads the answer, tells what it proves and whether the connection can be used again.
-func readResponse(a *attempt, c *conn) (o forkline.Outcome, got *answer, keep bool) {
+func readResponse(a *attempt, c *conn, out *outgoing) (o forkline.Outcome, got *answer, keep bool) {
 	// What cannot be read whole may have run, whatever its head says.
 	status, m, body, err := readAnswer(c.reader)
 	if err != nil {
@@ -202,13 +203,28 @@
 	case status == http.StatusOK:
 		return forkline.OK, &answer{status: status, header: endToEnd(m.header), body: body}, keep
 	case (status == http.StatusServiceUnavailable || status == http.StatusGatewayTimeout) && m.header.Get("X-Not-Run") == "1":
-		return forkline.Full, nil, keep
+		return c.notRun(out, keep)
 	case status/100 == 4: // the request's own fault: no other endpoint would serve it, and this one is sound
 		return forkline.Cancelled, &answer{status: status}, keep
 	}
 	return forkline.Error, nil, keep
 }
 
+// notRun tells what an answer proves by which a request was not run. Answers name no request: on a connection that
+// brought such an answer before, this may be a late second copy of that one, and the request may be running. Then it
+// proves nothing of one that may not simply run twice, and no later answer on the connection can be trusted.
+func (c *conn) notRun(out *outgoing, keep bool) (forkline.Outcome, *answer, bool) {
+	before := c.turnedAway
+	c.turnedAway = true
+	switch {
+	case !before:
+		return forkline.Full, nil, keep
+	case out.safe:
+		return forkline.Full, nil, false
+	}
+	return forkline.Reset, nil, false
+}
+
 // unclaimed names the outcome of an attempt that claim has stopped.
 func unclaimed(a *attempt) forkline.Outcome {
 	a.mu.Lock()
--- a/internal/sidecar/exchange_test.go
+++ b/internal/sidecar/exchange_test.go
@@ -3,8 +3,10 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"syscall"
 	"testing"
@@ -90,3 +92,42 @@
 		t.Errorf("outcome %v", got)
 	}
 }
+
+// An answer by which a request was not run may be a late second copy of the one before on the connection. It must not
+// have a request sent once more that may be running, and no answer behind it may be taken for another request's.
+func TestASecondTurningAwayProvesNothing(t *testing.T) {
+	const notRun = "HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+	for name, c := range map[string]struct {
+		once, safe bool
+		want       forkline.Outcome
+		open       int
+	}{
+		"keyed":  {want: forkline.Reset},
+		"safe":   {safe: true, want: forkline.Full},
+		"unsafe": {once: true, want: forkline.OK, open: 2}, // it goes on another connection
+	} {
+		t.Run(name, func(t *testing.T) {
+			ln := script(t, func(n int, c net.Conn, r *http.Request) bool {
+				if n > 0 {
+					return echo(n, c, r)
+				}
+				io.WriteString(c, notRun) // under the second request it is the copy
+				return true
+			})
+			u := pool(ln.Addr().String(), 4)
+			if got, _ := attemptOn(u, long); got != forkline.Full {
+				t.Fatalf("outcome %v of the first request", got)
+			}
+			first := u.find(1).idle[0]
+			out := get()
+			out.once, out.safe = c.once, c.safe
+			if got, _ := u.do(newAttempt(time.Time{}), u.find(1), out, time.Now().Add(long)); got != c.want {
+				t.Errorf("outcome %v, want %v", got, c.want)
+			}
+			kept := slices.Contains(u.find(1).idle, first)
+			if kept != c.once || u.open != c.open {
+				t.Errorf("the first connection is kept: %v, and %d are open, want %d", kept, u.open, c.open)
+			}
+		})
+	}
+}
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -303,7 +303,7 @@
 	if act.Whole > 0 {
 		a.whole = l.time(act.Whole)
 	}
-	a.left = c.hasLeft
+	a.left, out.safe = c.hasLeft, c.safe
 	c.attempts = append(c.attempts, a)
 	c.open++
 	go func() {
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -47,6 +47,8 @@
 	took    time.Duration // its last request
 	dropped bool          // it broke at once under a request, before any answer
 	spoilt  bool          // bytes came that can answer no request sent on it
+
+	turnedAway bool // it has brought an answer by which a request was not run
 }
 
 // upstream owns all connections to endpoints.
@@ -215,7 +217,8 @@
 // last of those that have rested, so that the others can grow old. Failing that it is the one that will have rested
 // first, if that is in time and no longer than its last request took: a new one costs its endpoint work, and stays
 // open, but where answers come at once a wait would look like a server that says nothing. One that was idle for longer
-// than a request that must not run twice can trust stays for the others, which may be sent again.
+// than a request that must not run twice can trust stays for the others, which may be sent again, and so does one on
+// which an answer that such a request was not run would prove nothing.
 func (u *upstream) take(e *endpoint, until time.Time, once bool) (c *conn, wait time.Duration) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -233,8 +236,15 @@
 			u.closeOldest(e)
 		}
 	}
+	resting := n + 1
+	for n >= 0 && once && e.idle[n].turnedAway {
+		n--
+	}
 	if n < 0 || now.Sub(e.idle[n].since) > oldest {
-		if n++; n == len(e.idle) || u.rest > oldest {
+		for n = resting; n < len(e.idle) && once && e.idle[n].turnedAway; {
+			n++
+		}
+		if n == len(e.idle) || u.rest > oldest {
 			return nil, 0
 		}
 		wait = u.rest - now.Sub(e.idle[n].since)
