Remember the ids of what may have run for as long as they can come back

Cause: loop.release forgot an id once its call had ended and its attempts were closed, and loop.take sent a second copy of the request, whose client had got no answer, as a new one; and once all was given up, take refused a copy whose first attempt was still out. Seen by reading, and forced by TestARequestThatComesAgainRunsOnce and TestARequestThatComesAgainAtTheEndHasFailed, which fail without the change.

--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -92,6 +92,8 @@
 	watch     func() // asks for the list to be watched
 	calls     map[uint32]*call
 	ids       map[string]*call // by the ids of their clients
+	ran       *remembered      // ids of calls that are over
+	remember  float64          // for how long, in ms
 	again     []*call          // over now; each has been asked for again meanwhile
 	over      bool             // all is given up
 	known     *List            // the list of before, until the first one comes
@@ -115,6 +117,7 @@
 		directory: newDirectory(cfg.Site.Zones, cfg.Site.Kinds), listed: map[uint32]bool{},
 	}
 	l.margin.loop = l
+	l.ran, l.remember = newRemembered(), rememberTime(&cfg.Site.Settings)
 	l.comeBack = millis(cfg.Site.Settings.Limits.ComeBack())
 	var err error
 	l.balancer, err = forkline.New(l.settings(cfg.Site.Settings), cfg.Seed, l.now())
@@ -238,9 +241,9 @@
 		l.gone(c)
 		return
 	}
-	if l.over {
+	if a := l.turnAway(c); a != nil {
 		c.ended = true
-		c.reply(answer{status: statusRefused, retryAfter: l.comeBack})
+		c.reply(*a)
 		return
 	}
 	if l.tables != nil && c.tables != l.tables && !l.place(c) {
@@ -271,6 +274,21 @@
 	l.handle(&c.event)
 }
 
+// turnAway is the answer to a call that cannot be taken at all; nil if it can. One that may have run before under this
+// id, and may not run twice, has failed: a refusal would say that nothing can have run.
+func (l *loop) turnAway(c *call) *answer {
+	l.ran.expire(l.now())
+	old := l.ids[c.id]
+	ran := l.ran.has(c.id) || l.over && old != nil && (old.mayRun || old.open > 0)
+	switch {
+	case ran && !c.safe:
+		return &answer{status: statusFailed}
+	case l.over, !c.safe && l.ran.full(len(l.calls)):
+		return &answer{status: statusRefused, retryAfter: l.comeBack}
+	}
+	return nil
+}
+
 // awaitEnd sets a call's backstop.
 func (l *loop) awaitEnd(c *call) {
 	if c.backstop == nil {
@@ -358,6 +376,9 @@
 	}
 	delete(l.calls, c.event.Request)
 	delete(l.ids, c.id)
+	if c.mayRun && !c.safe {
+		l.ran.add(c.id, l.now()+l.remember)
+	}
 	if c.again != nil {
 		l.again = append(l.again, c) // not now: the module's actions are being carried out
 	}
--- a/internal/sidecar/reload.go
+++ b/internal/sidecar/reload.go
@@ -88,6 +88,7 @@
 		return err
 	}
 	l.tables, l.comeBack = t, millis(set.Limits.ComeBack())
+	l.remember = max(l.remember, rememberTime(&site.Settings)) // clients may wait by the settings of before
 	l.up.configure(site.Settings.Limits, set.Safety.DrainGrace)
 	for _, c := range l.calls {
 		c.restrict(t)
--- /dev/null
+++ b/internal/sidecar/remembered_test.go
@@ -0,0 +1,124 @@
+package sidecar
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"forkline"
+)
+
+// A client whose connection was reset under the answer sends its request once more, some time after it has ended. What
+// may have run and must not simply run twice fails then; what did not run, or is safe, is served.
+func TestARequestThatComesAgainRunsOnce(t *testing.T) {
+	const notRun = "HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+	for name, c := range map[string]struct {
+		method, class string
+		first         string // answer of the endpoint to the first copy; "" = it is served
+		sends, want   int
+	}{
+		"unsafe, served":         {"POST", "pay", "", 1, statusFailed},
+		"unsafe, cut off":        {"POST", "pay", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n", 1, statusFailed},
+		"unsafe, turned away":    {"POST", "pay", notRun, 2, 200},
+		"keyed, served":          {"POST", "add", "", 1, statusFailed},
+		"safe, served":           {"GET", "read", "", 2, 200},
+		"unsafe, while all ends": {"POST", "pay", "", 1, statusFailed},
+	} {
+		t.Run(name, func(t *testing.T) {
+			came := make(chan struct{}, 10)
+			cfg := config(t, script(t, func(n int, conn net.Conn, r *http.Request) bool {
+				came <- struct{}{}
+				if len(came) == 1 && c.first != "" {
+					io.WriteString(conn, c.first)
+					return c.first == notRun
+				}
+				return echo(n, conn, r)
+			}).Addr().String())
+			cfg.Site.Settings.Limits.MaxAttempts = 1
+			s := start(t, cfg)
+			first, second := dial(t, s), dial(t, s)
+			first.send(c.method, c.class, "", "Idempotency-Key: k")
+			first.answer(t)
+			first.Close()
+			for left := 1; left > 0; { // the first copy is over, and its attempt closed
+				s.loop.ask(func() { left = len(s.loop.calls) + len(s.loop.ids) })
+			}
+			if name == "unsafe, while all ends" {
+				s.loop.ask(s.loop.giveUpAll)
+			}
+			second.send(c.method, c.class, "", "Idempotency-Key: k")
+			if res, _ := second.answer(t); res.StatusCode != c.want || len(came) != c.sends {
+				t.Errorf("status %d after %d sends, want %d after %d", res.StatusCode, len(came), c.want, c.sends)
+			}
+		})
+	}
+}
+
+// While all is given up, a copy of what may still run at an endpoint has failed: a refusal would say that it cannot have run.
+func TestARequestThatComesAgainAtTheEndHasFailed(t *testing.T) {
+	s := undrained(t, echo, nil)
+	statuses := make(chan int, 2)
+	s.loop.ask(func() {
+		old := &call{id: "id", event: forkline.Event{Due: s.loop.now() + 1e6}, ended: true, open: 1}
+		s.loop.ids["id"], s.loop.calls[9] = old, old
+		s.loop.giveUpAll()
+		s.loop.take(&call{id: "id", event: forkline.Event{Due: s.loop.now() + 1e6}, reply: func(a answer) { statuses <- a.status }})
+	})
+	if len(statuses) != 1 || <-statuses != statusFailed {
+		t.Error("it was not answered, or not as one that may have run")
+	}
+}
+
+// What is remembered is bounded in time and in number, and while there is no room for more nothing is taken that would
+// have to be remembered.
+func TestWhatIsRememberedIsBounded(t *testing.T) {
+	r := newRemembered()
+	for i := range 3 * mostRemembered {
+		r.add(fmt.Sprint(i), float64(i+100))
+		r.expire(float64(i))
+	}
+	if len(r.ids) > 101 || len(r.order) > 400 {
+		t.Errorf("%d ids in %d places are kept of 100", len(r.ids), len(r.order))
+	}
+	last := 3*mostRemembered - 1
+	if r.expire(float64(last + 99)); !r.has(fmt.Sprint(last)) || r.full(0) {
+		t.Error("the last id is forgotten too soon, or there is no room")
+	}
+	if r.expire(float64(last + 100)); r.has(fmt.Sprint(last)) || len(r.ids) > 0 {
+		t.Error("the last id is kept too long")
+	}
+}
+
+func TestNoRoomToRemember(t *testing.T) {
+	socketless(t, func(t *testing.T, f *front) {
+		ask := func(class uint16, safe bool) (status int) {
+			f.loop.ask(func() {
+				f.loop.take(&call{
+					id: "new", event: forkline.Event{Class: class, Due: f.loop.now() + 1000}, safe: safe,
+					reply: func(a answer) { status = a.status },
+				})
+			})
+			return status
+		}
+		f.loop.ask(func() {
+			for i := range mostRemembered {
+				f.loop.ran.add(fmt.Sprint(i), f.loop.now()+f.loop.remember)
+			}
+		})
+		if status := ask(1, false); status != statusRefused {
+			t.Errorf("status %d of an unsafe request without room", status)
+		}
+		if status := ask(0, true); status != 0 {
+			t.Errorf("status %d of a safe request without room, want it taken", status)
+		}
+		synctest.Wait()
+		time.Sleep(millis(f.loop.remember) + time.Second)
+		if status := ask(1, false); status != 0 {
+			t.Errorf("status %d of an unsafe request with room, want it taken", status)
+		}
+	})
+}
