Let calls that wait for a new connection hold no place in the concurrency limit

Cause: count and recount held a place for each attempt from its decision on, also while it was dialling (balancer.go).

Change: the sidecar tells the module when an attempt waits for a new connection and when that is up (EvConnecting, EvConnected); meanwhile it holds no place, and at most as many may wait as may be out.

--- a/api.go
+++ b/api.go
@@ -154,13 +154,15 @@
 
 // The events a balancer handles.
 const (
-	EvRequest EventKind = iota + 1 // Request, Class, Tenant, Key, Due, Hint
-	EvFirst                        // Request, Attempt, Server, Took
-	EvOutcome                      // Request, Attempt, Server, Outcome, Took, Service, Fresh, Done
-	EvGone                         // Request
-	EvList                         // List, Servers
-	EvTimer                        // Token
-	EvProbe                        // Server, Outcome, Took, Report, Values
+	EvRequest    EventKind = iota + 1 // Request, Class, Tenant, Key, Due, Hint
+	EvFirst                           // Request, Attempt, Server, Took
+	EvOutcome                         // Request, Attempt, Server, Outcome, Took, Service, Fresh, Done
+	EvGone                            // Request
+	EvList                            // List, Servers
+	EvTimer                           // Token
+	EvProbe                           // Server, Outcome, Took, Report, Values
+	EvConnecting                      // Request, Attempt: it waits for a new connection; not told by every host
+	EvConnected                       // Request, Attempt: its connection is up
 )
 
 // ListKind tells how a list event is to be read.
--- a/balancer.go
+++ b/balancer.go
@@ -73,6 +73,7 @@
 	ejected           bool // at the floor since a run of failures
 	silent            bool // it said nothing for too long, with calls out: the limit is for others
 	out, streams      int  // attempts sent and not ended; those of them whose answer has begun
+	connecting        int  // those of them that wait for a new connection
 	load, maxLoad     float64
 	credit, accruedAt float64
 	lastSent          float64
@@ -100,14 +101,15 @@
 
 // attempt is one send of a request.
 type attempt struct {
-	server  *server
-	zone    uint8  // of the server when it was sent: a later list may tell another one, but the
-	cell    uint16 // group that remembers the request is that of then
-	sentAt  float64
-	held    float64 // calls the server held with it, as far as told
-	open    bool
-	silent  bool // it was called off, as its server said nothing
-	streams bool // its answer has begun
+	server     *server
+	zone       uint8  // of the server when it was sent: a later list may tell another one, but the
+	cell       uint16 // group that remembers the request is that of then
+	sentAt     float64
+	held       float64 // calls the server held with it, as far as told
+	open       bool
+	silent     bool // it was called off, as its server said nothing
+	connecting bool // it waits for a new connection
+	streams    bool // its answer has begun
 }
 
 // request is one call that this copy has taken.
@@ -164,7 +166,7 @@
 	hedgeTimers         []hedgeTimer // of attempts of safe classes, the next one first
 	closing             []*server    // draining, and to be closed once more
 	budgetTold, probing bool         // the site states the retry budget; probes are cheap
-	out                 int          // calls out at servers that serve
+	out, connecting     int          // calls out at servers that serve; calls that wait for a connection
 	limit               concurrencyLimit
 	tierLatency         float64 // mean ratio of answers
 	scratch             []float64
@@ -227,6 +229,10 @@
 		b.first(ev)
 	case EvOutcome:
 		b.outcome(ev)
+	case EvConnecting, EvConnected:
+		if q := b.requests[ev.Request]; q != nil && int(ev.Attempt) < len(q.attempts) {
+			b.connects(&q.attempts[ev.Attempt], ev.Kind == EvConnecting)
+		}
 	case EvGone:
 		if q := b.requests[ev.Request]; q != nil {
 			for i := range q.attempts { // servers whose work stops must do none for nobody
@@ -414,7 +420,7 @@
 // crowded tells whether as many calls are out as may be. Only the front sheds: an inner error would waste
 // upstream work.
 func (b *Balancer) crowded() bool {
-	return b.set.Stage == 0 && float64(b.out) >= b.limit.most
+	return b.set.Stage == 0 && float64(max(b.out, b.connecting)) >= b.limit.most
 }
 
 // sweep ends every waiting call that cannot be answered usefully any more, also behind the head.
@@ -581,6 +587,23 @@
 	}
 }
 
+// connects notes that an attempt waits for a new connection, or does so no more. Meanwhile it holds no place
+// in the concurrency limit: its server does no work for it, and others would be kept from idle servers.
+func (b *Balancer) connects(a *attempt, waits bool) {
+	if !a.open || a.connecting == waits {
+		return
+	}
+	change := -1
+	if a.connecting = waits; waits {
+		change = 1
+	}
+	a.server.connecting += change
+	b.connecting += change
+	if a.server.serves() {
+		b.out -= change
+	}
+}
+
 // count notes that a call went out to a server or came back.
 func (b *Balancer) count(s *server, calls int) {
 	if calls > 0 && s.out == 0 {
@@ -660,6 +683,7 @@
 		return
 	}
 	a := &q.attempts[ev.Attempt]
+	b.connects(a, false)
 	a.open = false
 	b.count(a.server, -1)
 	if a.streams {
@@ -876,7 +900,7 @@
 		if !s.serves() {
 			continue
 		}
-		b.out += s.out
+		b.out += s.out - s.connecting
 		if s.cold {
 			serving += b.set.Safety.ColdFrom
 		} else {
--- a/internal/sidecar/exchange.go
+++ b/internal/sidecar/exchange.go
@@ -51,6 +51,7 @@
 	begin  time.Time   // latest time for its first byte; zero for any
 	whole  time.Time   // latest time for its last byte, by when it is whole at its endpoint; zero for any
 	left   func() bool // looks whether the request's client has left; nil = it never does
+	waits  func(bool)  // hears that it waits for a new connection, and that this is up; nil = nobody wants to know
 	mu     sync.Mutex
 	off    bool // called off
 
@@ -82,6 +83,13 @@
 	return !off && (a.left == nil || !a.left())
 }
 
+// connecting notes that the attempt waits for a new connection, or does so no more.
+func (a *attempt) connecting(waits bool) {
+	if a.waits != nil {
+		a.waits(waits)
+	}
+}
+
 // lateToBegin tells whether it is too late for the first byte.
 func (a *attempt) lateToBegin() bool {
 	return a.lateToEnd() || !a.begin.IsZero() && time.Now().After(a.begin)
--- a/internal/sidecar/exchange_test.go
+++ b/internal/sidecar/exchange_test.go
@@ -156,3 +156,50 @@
 		}
 	})
 }
+
+// An attempt tells when it waits for a new connection and when that is up, and whether its connection was opened for it.
+func TestAttemptsTellOfNewConnections(t *testing.T) {
+	ln := script(t, echo)
+	u := pool(ln.Addr().String(), 4)
+	for i, want := range []struct {
+		outcome forkline.Outcome
+		told    []bool
+		fresh   bool
+	}{
+		{forkline.OK, []bool{true, false}, true},
+		{forkline.OK, nil, false},
+		{forkline.ConnectFailed, []bool{true}, false},
+	} {
+		if want.outcome != forkline.OK {
+			ln.Close()
+			u.closeAll(1)
+		}
+		var told []bool
+		a := newAttempt(time.Time{})
+		a.waits = func(waits bool) { told = append(told, waits) }
+		got, _ := u.do(a, u.find(1), get(), time.Now().Add(long))
+		if got != want.outcome || !slices.Equal(told, want.told) || a.fresh != want.fresh {
+			t.Errorf("attempt %d: outcome %v, told as %v, fresh %v, want %+v", i, got, told, a.fresh, want)
+		}
+	}
+}
+
+// The loop passes on to the module that an attempt waits for a new connection.
+func TestTheLoopHearsOfNewConnections(t *testing.T) {
+	ln := script(t, echo)
+	cfg := config(t)
+	u := pool(ln.Addr().String(), 4)
+	l, err := newLoop(&cfg, u)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i, mails := range []int{3, 1} { // it waits, it is up, it is over; on a connection that is open, the last
+		l.send(&call{out: *get(), reply: func(answer) {}}, &forkline.Action{Kind: forkline.ActSend, Server: 1, Until: l.now() + 1e6})
+		for range mails {
+			(<-l.mail)()
+		}
+		if len(l.mail) > 0 || len(u.find(1).idle) != 1 {
+			t.Errorf("attempt %d: %d more mails, %d connections kept", i, len(l.mail), len(u.find(1).idle))
+		}
+	}
+}
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -323,6 +323,7 @@
 		a.whole = l.time(act.Whole)
 	}
 	a.left, out.safe = c.hasLeft, c.safe
+	a.waits = func(waits bool) { l.post(func() { l.connecting(c, number, waits) }) }
 	c.attempts = append(c.attempts, a)
 	c.open++
 	go func() {
@@ -338,6 +339,15 @@
 	}()
 }
 
+// connecting hears that an attempt waits for a new connection, or does so no more.
+func (l *loop) connecting(c *call, number int, waits bool) {
+	kind := forkline.EvConnected
+	if waits {
+		kind = forkline.EvConnecting
+	}
+	l.handle(&forkline.Event{Kind: kind, Request: c.event.Request, Attempt: uint16(number)})
+}
+
 // closed hears how an attempt ended, with the final answer where it gives one.
 func (l *loop) closed(c *call, number int, server uint32, o forkline.Outcome, got *answer, took time.Duration) {
 	a := c.attempts[number]
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -203,6 +203,7 @@
 	u.mu.Lock()
 	d := net.Dialer{Timeout: u.dialTimeout, Deadline: until, KeepAlive: -1}
 	u.mu.Unlock()
+	a.connecting(true)
 	raw, err := d.DialContext(a.ctx, "tcp", e.addr)
 	if err != nil {
 		u.mu.Lock()
@@ -210,6 +211,7 @@
 		u.mu.Unlock()
 		return nil, fmt.Errorf("dial: %w", err)
 	}
+	a.connecting(false)
 	return &conn{Conn: raw, reader: bufio.NewReader(raw), home: e, taken: time.Now()}, nil
 }
 
--- a/limit_test.go
+++ b/limit_test.go
@@ -88,3 +88,41 @@
 		}
 	}
 }
+
+// A call whose connection is not up yet must not keep others from servers that are idle; it counts once it is up. So
+// many may wait for connections as may be out.
+func TestConnectingCallsHoldNoPlace(t *testing.T) {
+	h := start(t, plain(), ids(2)...)
+	h.b.limit.most, h.b.limit.reviseAt = 2, math.Inf(1)
+	h.b.sends.PerSecond, h.b.sends.At = 100, h.now
+	sent := map[uint32]uint32{}
+	note := func(acts []Action) {
+		for _, a := range acts {
+			if a.Kind == ActSend {
+				sent[a.Request] = a.Server
+			}
+		}
+	}
+	for id := uint32(1); id <= 4; id++ {
+		note(h.request(id, 0))
+		note(h.do(Event{Kind: EvConnecting, Request: id}))
+		note(h.do(Event{Kind: EvConnecting, Request: id})) // told twice, it counts once
+	}
+	if len(sent) != 2 || h.b.out != 0 || h.b.connecting != 2 {
+		t.Fatalf("%d sent, %d out, %d connecting; want 2, 0 and 2", len(sent), h.b.out, h.b.connecting)
+	}
+	note(h.do(Event{Kind: EvConnected, Request: 1}))
+	if len(sent) != 3 || h.b.out != 2 || h.b.connecting != 1 {
+		t.Errorf("%d sent, %d out, %d connecting; want 3, 2 and 1", len(sent), h.b.out, h.b.connecting)
+	}
+	h.do(Event{Kind: EvOutcome, Request: 2, Server: sent[2], Outcome: ConnectFailed})
+	h.do(Event{Kind: EvConnected, Request: 2, Attempt: 0}) // overtaken by the outcome
+	h.do(Event{Kind: EvConnected, Request: 99})
+	out, connecting := 0, 0
+	for _, s := range h.b.live {
+		out, connecting = out+s.out, connecting+s.connecting
+	}
+	if h.b.connecting != connecting || h.b.out != out-connecting {
+		t.Errorf("%d out and %d connecting, want %d and %d", h.b.out, h.b.connecting, out-connecting, connecting)
+	}
+}
