Eject a server only for failures beyond those that the whole tier shares

Cause: learn adds 1 to a server's run for a failure and takes 0.25 for a good answer, whatever the others do: with a fifth failing the run passes 2.5 by chance again and again (26 times in 1000 calls in the test).

Change: a good answer takes away as much more as the tier's own failures add, twice.

--- a/balancer.go
+++ b/balancer.go
@@ -30,6 +30,7 @@
 	failRatio       = 2.0     // how far over threshold a failure counts
 	runLimit        = 2.5     // failures in a run, goods leaking away, that eject a server at once
 	runLeak         = 0.25    // one good answer takes this much of a run away
+	sharedFailures  = 2.0     // and so many times as much as the tier's failures add for each good answer
 	trialGoods      = 3       // good trial calls in a row that make an ejected server unmeasured
 	sharedPart      = 0.4     // part of the tier in trouble from which the cause is held to be shared
 	coldPart        = 0.7     // part of its present share that a cold server is given at most
@@ -161,6 +162,7 @@
 	sends, arrivals     stats.Rate
 	came                float64     // calls, ever
 	connLost            stats.Share // attempts without a connection, of late
+	failing             stats.Share // attempts without an answer, of late, at servers that are not ejected
 	meanAim             float64
 	taken, further      stats.Window // requests, and attempts that the retry budget counts
 	hedgeTimers         []hedgeTimer // of attempts of safe classes, the next one first
@@ -750,9 +752,12 @@
 		b.pool[b.pooled%poolSize] = sm
 		b.pooled++
 	}
+	if !s.ejected {
+		b.failing.Note(out != OK && out != Full, latencyGain)
+	}
 	if ratio <= 1 {
 		s.good++
-		s.run = max(0, s.run-runLeak)
+		s.run = max(0, s.run-runLeak-sharedFailures*b.failing.Odds())
 		if s.goods++; s.ejected && s.goods >= trialGoods {
 			b.unmeasure(s)
 		}
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -1575,3 +1575,35 @@
 		t.Errorf("%v, want the call sent", acts)
 	}
 }
+
+// Failures that all servers share, as of connections that are reset, tell nothing of one: none is ejected for them.
+// One that fails more than the others still is.
+func TestSharedFailuresEjectNobody(t *testing.T) {
+	for _, bad := range []bool{false, true} {
+		h := start(t, plain(), ids(8)...)
+		ejected := map[*server]int{}
+		for i := range 8000 {
+			h.now += 5
+			h.b.now = h.now
+			s, out := h.b.live[i%8], OK
+			if h.b.rng.Float64() < 0.2 || bad && i%8 == 3 && h.b.rng.Float64() < 0.75 {
+				out = Reset
+			}
+			h.b.learn(s, 0, out, 50)
+			if s.ejected {
+				ejected[s]++
+				h.b.unmeasure(s)
+			}
+		}
+		of := func(i int) float64 { return float64(ejected[h.b.live[i]]) }
+		mean := 0.0 // of the others
+		for i := range h.b.live {
+			if i != 3 {
+				mean += of(i) / 7
+			}
+		}
+		if mean > 14 || bad && of(3) < 3*mean || !bad && of(3) > 14 {
+			t.Errorf("bad server: %v; it was ejected %v times in 1000 calls, the others %.1f times", bad, of(3), mean)
+		}
+	}
+}
