Take lists of 1,024 servers without quadratic time

Cause: list looked each entry up in a slice of all live servers, each server that had started renewed the sums over all (entry, unmeasure), and the sidecar looked each changed target up among all (List.changed). A server knows whether it is live, the sums are renewed once a list, and targets are found by a map.

--- a/balancer.go
+++ b/balancer.go
@@ -64,29 +64,29 @@
 // server is what this copy knows of one server, from its list and its own calls.
 type server struct {
 	ServerEntry
-	listed, asked     bool    // by the list; a probe is out
-	linked            bool    // it answered since a connection last failed
-	held, heldAt      float64 // calls it holds, as it told a probe, and when
-	subsetShare       float64 // part of this server that is this copy's own
-	cold              bool
-	ramp              ramp // while it is cold
-	measured          bool // has a load of its own; others take the mean
-	ejected           bool // at the floor since a run of failures
-	silent            bool // it said nothing for too long, with calls out: the limit is for others
-	out, streams      int  // attempts sent and not ended; those of them whose answer has begun
-	connecting        int  // those of them that wait for a new connection
-	load, maxLoad     float64
-	credit, accruedAt float64
-	lastSent          float64
-	heard             float64                // last answer, or first send since none was out
-	closeAt           float64                // it drains: idle connections are closed once more then; 0 = not
-	reviseAt, since   float64                // next revision, and since when good is counted
-	run               float64                // failures in a run
-	good, goods       int                    // good answers since then, and in a row since the ejection
-	samples           [ringSize]stats.Sample // latencies as ratios to their classes' thresholds
-	count             int                    // samples ever taken
-	meanLatency       float64                // mean ratio of its answers; 0 = none yet
-	meanConcurrency   float64                // mean number of calls out there, with each of these
+	listed, live, asked bool    // by the list; it is among the live ones; a probe is out
+	linked              bool    // it answered since a connection last failed
+	held, heldAt        float64 // calls it holds, as it told a probe, and when
+	subsetShare         float64 // part of this server that is this copy's own
+	cold                bool
+	ramp                ramp // while it is cold
+	measured            bool // has a load of its own; others take the mean
+	ejected             bool // at the floor since a run of failures
+	silent              bool // it said nothing for too long, with calls out: the limit is for others
+	out, streams        int  // attempts sent and not ended; those of them whose answer has begun
+	connecting          int  // those of them that wait for a new connection
+	load, maxLoad       float64
+	credit, accruedAt   float64
+	lastSent            float64
+	heard               float64                // last answer, or first send since none was out
+	closeAt             float64                // the list names it; it is among the live ones; a probe is out
+	reviseAt, since     float64                // next revision, and since when good is counted
+	run                 float64                // failures in a run
+	good, goods         int                    // good answers since then, and in a row since the ejection
+	samples             [ringSize]stats.Sample // latencies as ratios to their classes' thresholds
+	count               int                    // samples ever taken
+	meanLatency         float64                // mean ratio of its answers; 0 = none yet
+	meanConcurrency     float64                // mean number of calls out there, with each of these
 }
 
 func (s *server) ready() bool { return s.listed && s.State == Ready }
@@ -759,7 +759,8 @@
 		s.good++
 		s.run = max(0, s.run-runLeak-sharedFailures*b.failing.Odds())
 		if s.goods++; s.ejected && s.goods >= trialGoods {
-			b.unmeasure(s)
+			s.unmeasure(b.now)
+			b.recount()
 		}
 		return
 	}
@@ -877,12 +878,11 @@
 	b.scratch = stats.Recent(b.scratch, ring, count, b.now-windowTime, b.now-revisePeriod, windowSamples)
 }
 
-// unmeasure lets a server take the others' mean again, as after a good run of trials.
-func (b *Balancer) unmeasure(s *server) {
+// unmeasure lets a server take the others' mean again, as after a good run of trials; a recount is due.
+func (s *server) unmeasure(now float64) {
 	s.measured, s.ejected, s.silent = false, false, false
 	s.run, s.goods, s.count, s.good = 0, 0, 0, 0
-	s.since, s.reviseAt = b.now, b.now+revisePeriod
-	b.recount()
+	s.since, s.reviseAt = now, now+revisePeriod
 }
 
 // recount renews what depends on the servers that serve: the mean load of the measured ones, and the
@@ -939,13 +939,15 @@
 		}
 	}
 	for i := range ev.Servers {
-		if s := b.entry(&ev.Servers[i]); s.listed && !slices.Contains(b.live, s) {
+		if s := b.entry(&ev.Servers[i]); s.listed && !s.live {
+			s.live = true
 			b.live = append(b.live, s)
 		}
 	}
 	b.live = slices.DeleteFunc(b.live, func(s *server) bool {
 		b.closeIdle(s)
-		return !s.ready()
+		s.live = s.ready()
+		return !s.live
 	})
 	// Servers come and go for as long as a copy runs: what is gone for good must not be kept.
 	maps.DeleteFunc(b.byID, func(_ uint32, s *server) bool { return !s.listed && s.out == 0 && !s.asked })
@@ -1021,7 +1023,7 @@
 	fresh := e.Started > s.Started
 	s.ServerEntry = *e
 	if fresh {
-		b.unmeasure(s)
+		s.unmeasure(b.now)
 		s.maxLoad, s.meanLatency, s.linked = 0, 0, false
 		if b.now-s.Started < b.set.Safety.Ramp {
 			s.ramp = newRamp(&b.set, e, b.demand())
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -1592,7 +1592,8 @@
 			h.b.learn(s, 0, out, 50)
 			if s.ejected {
 				ejected[s]++
-				h.b.unmeasure(s)
+				s.unmeasure(h.b.now)
+				h.b.recount()
 			}
 		}
 		of := func(i int) float64 { return float64(ejected[h.b.live[i]]) }
--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -69,9 +69,13 @@
 // changed is a list with changes carried out.
 func (l List) changed(by List) List {
 	all := List{Rev: by.Rev, All: true}
-	for _, t := range slices.Concat(l.Targets, by.Targets) {
-		all.Targets = slices.DeleteFunc(all.Targets, func(old Target) bool { return old.UID == t.UID })
-		if t.State != "Gone" {
+	told := slices.Concat(l.Targets, by.Targets)
+	last := make(map[string]int, len(told))
+	for i, t := range told {
+		last[t.UID] = i
+	}
+	for i, t := range told {
+		if last[t.UID] == i && t.State != "Gone" {
 			all.Targets = append(all.Targets, t)
 		}
 	}
--- a/internal/sidecar/discovery_test.go
+++ b/internal/sidecar/discovery_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"net"
@@ -317,3 +318,58 @@
 		}
 	}
 }
+
+// A sidecar serves with 1,024 endpoints and copies: it takes them from its old list, changes and whole lists.
+func TestManyEndpointsAndCopies(t *testing.T) {
+	const many = 1024
+	cfg := config(t)
+	cfg.Site.Settings.Copies, cfg.Site.Settings.Rank = many, many-1
+	addr := script(t, echo).Addr().String()
+	for i := range many {
+		cfg.Known.Targets = append(cfg.Known.Targets,
+			Target{UID: fmt.Sprint("s-", i), Endpoint: addr, Zone: "z", Kind: "k", State: "Ready"})
+	}
+	s := start(t, cfg)
+	listed := func() (listed, usable int) {
+		s.loop.ask(func() { listed, usable = len(s.loop.listed), s.loop.usable })
+		return listed, usable
+	}
+	serves := func(id string) {
+		t.Helper()
+		c := dial(t, s)
+		c.id = id
+		c.send("GET", "read", "")
+		if res, _ := c.answer(t); res.StatusCode != 200 {
+			t.Errorf("status %d", res.StatusCode)
+		}
+	}
+	serves("known")
+	half := List{}
+	for i, target := range cfg.Known.Targets {
+		if i%2 == 0 {
+			target.State = "Terminating"
+		}
+		half.Targets = append(half.Targets, target)
+	}
+	s.loop.ask(func() { s.loop.list(half, forkline.ListDelta) })
+	if all, usable := listed(); all != many || usable != many/2 {
+		t.Errorf("%d listed and %d usable, want %d and %d", all, usable, many, many/2)
+	}
+	serves("half")
+	text, err := json.Marshal(List{Rev: 3, All: true, Targets: cfg.Known.Targets})
+	if err != nil {
+		t.Fatal(err)
+	}
+	list, err := ParseList(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.loop.ask(func() { s.loop.list(list, forkline.ListFull) })
+	if all, usable := listed(); all != many || usable != many {
+		t.Errorf("%d listed and %d usable, want %d of each", all, usable, many)
+	}
+	serves("whole")
+	if changed := list.changed(half); len(changed.Targets) != many || changed.Targets[0].State != "Terminating" {
+		t.Errorf("%d targets after the changes, the first %+v", len(changed.Targets), changed.Targets[0])
+	}
+}
