--- a/api.go
+++ b/api.go
@@ -97,23 +97,39 @@
 	Safety         Safety
 }
 
+// SettingError tells which setting cannot be used, and why.
+type SettingError struct {
+	Setting string // its path in Settings, as Classes[0].Effect
+	Problem string
+}
+
+func (e *SettingError) Error() string {
+	return fmt.Sprintf("setting %s %s: correct the configuration, then start again or send SIGHUP", e.Setting, e.Problem)
+}
+
+// unusable is the error of a setting; the problem is formatted.
+func unusable(setting, problem string, of ...any) error {
+	return &SettingError{Setting: setting, Problem: fmt.Sprintf(problem, of...)}
+}
+
 // check fills defaults in and names the first setting that cannot be used.
 func (set *Settings) check() error {
 	set.Copies, set.Stages = max(set.Copies, 1), max(set.Stages, 1)
 	set.Limits.MaxAttempts = max(set.Limits.MaxAttempts, 1)
 	if len(set.Classes) == 0 {
-		return fmt.Errorf("Classes is empty")
+		return unusable("Classes", "is empty")
 	}
 	if set.Stage < 0 || set.Stage >= set.Stages {
-		return fmt.Errorf("Stage %d is outside the %d stages", set.Stage, set.Stages)
+		return unusable("Stage", "%d is outside the %d stages", set.Stage, set.Stages)
 	}
 	for i, c := range set.Classes {
+		class := fmt.Sprintf("Classes[%d]", i)
 		if c.Effect > Unsafe {
-			return fmt.Errorf("Classes[%d].Effect %d is unknown", i, c.Effect)
+			return unusable(class+".Effect", "%d is unknown", c.Effect)
 		}
 		if !(c.GiveUp > 0) || !(c.Aim > 0) || c.Window < 0 || c.Worth < 0 {
-			return fmt.Errorf("Classes[%d]: GiveUp %v, Aim %v, Window %v or Worth %v is not a time or worth",
-				i, c.GiveUp, c.Aim, c.Window, c.Worth)
+			return unusable(class, "has GiveUp %v, Aim %v, Window %v or Worth %v, which is not a time or worth",
+				c.GiveUp, c.Aim, c.Window, c.Worth)
 		}
 	}
 	f := &set.Safety
@@ -122,7 +138,7 @@
 	for i, v := range [...]float64{f.AnswerSlack, f.DrainGrace, f.ColdFrom, f.Ramp, f.AskEvery, f.DrainClose,
 		f.BudgetFree, f.BudgetShare, f.BudgetWindow} {
 		if !(v >= 0) || math.IsInf(v, 0) {
-			return fmt.Errorf("Safety.%s %v is negative or no number", names[i], v)
+			return unusable("Safety."+names[i], "%v is negative or no number", v)
 		}
 	}
 	return nil
--- a/balancer.go
+++ b/balancer.go
@@ -79,7 +79,7 @@
 	credit, accruedAt   float64
 	lastSent            float64
 	heard               float64                // last answer, or first send since none was out
-	closeAt             float64                // the list names it; it is among the live ones; a probe is out
+	closeAt             float64                // it drains: idle connections are closed again then; 0 = not
 	reviseAt, since     float64                // next revision, and since when good is counted
 	run                 float64                // failures in a run
 	good, goods         int                    // good answers since then, and in a row since the ejection
--- a/cmd/forkline/reload_test.go
+++ b/cmd/forkline/reload_test.go
@@ -38,8 +38,8 @@
 	changed := strings.Replace(s.text, `"name":"read"`, `"name":"browse"`, 1)
 	for _, c := range []struct{ text, line string }{
 		{changed[:len(changed)-9], `(ERROR configuration kept .*config.json)`},
-		{strings.Replace(changed, `"giveUp":20000`, `"giveUp":-1`, 1), `(ERROR configuration kept .*err="forkline: Classes\[0\]: GiveUp -1)`},
-		{strings.Replace(changed, `"stages":["a"]`, `"stages":["a","b"]`, 1), `(ERROR configuration kept .*err="forkline: Stages cannot change from 1 to 2)`},
+		{strings.Replace(changed, `"giveUp":20000`, `"giveUp":-1`, 1), `(ERROR configuration kept .*err="forkline: setting Classes\[0\] has GiveUp -1)`},
+		{strings.Replace(changed, `"stages":["a"]`, `"stages":["a","b"]`, 1), `(ERROR configuration kept .*err="forkline: setting Stages cannot change from 1 to 2)`},
 	} {
 		s.rewrite(t, c.text)
 		logged(t, s.lines, c.line)
--- a/internal/experiment/read_test.go
+++ b/internal/experiment/read_test.go
@@ -219,11 +219,12 @@
 
 // Keys that are left out take the defaults that the example names, and its ranges are those that are checked.
 func TestExampleTellsDefaultsAndRanges(t *testing.T) {
-	e, err := Parse("f.toml", []byte(deep(2)+"[[fault]]\nkind = \"machine\"\n[[fault]]\nkind = \"burst\"\nfor = \"5s\"\ntarget = \"s0\"\n"))
+	_, err := Parse("f.toml", []byte(deep(2)+"[[fault]]\nkind = \"machine\"\n[[fault]]\nkind = \"burst\"\nfor = \"5s\"\ntarget = \"s0\"\n"))
 	if err == nil || !strings.Contains(err.Error(), "nothing to burst") {
 		t.Fatalf("error %v", err)
 	}
-	if e, err = Parse("f.toml", []byte(deep(2)+"[[fault]]\nkind = \"machine\"\n")); err != nil {
+	e, err := Parse("f.toml", []byte(deep(2)+"[[fault]]\nkind = \"machine\"\n"))
+	if err != nil {
 		t.Fatal(err)
 	}
 	if len(e.Regions) != 1 || len(e.Classes) != 1 || e.Regions[0].Name != "r-0" || e.Classes[0] != (Class{Name: "read", Share: 1,
--- a/settings.go
+++ b/settings.go
@@ -39,7 +39,7 @@
 		{"ListOnRequest", old.ListOnRequest, set.ListOnRequest},
 	} {
 		if s.was != s.is {
-			return fmt.Errorf("%s cannot change from %v to %v in a running copy", s.name, s.was, s.is)
+			return unusable(s.name, "cannot change from %v to %v in a running copy", s.was, s.is)
 		}
 	}
 	return nil
