--- a/internal/sidecar/remembered_test.go
+++ b/internal/sidecar/remembered_test.go
@@ -95,14 +95,20 @@
 
 func TestNoRoomToRemember(t *testing.T) {
 	socketless(t, func(t *testing.T, f *front) {
-		ask := func(class uint16, safe bool) (status int) {
+		ask := func(class uint16, safe bool) int { // the status that it is answered with at once; 0 = it is taken
+			statuses := make(chan int, 1)
 			f.loop.ask(func() {
 				f.loop.take(&call{
 					id: "new", event: forkline.Event{Class: class, Due: f.loop.now() + 1000}, safe: safe,
-					reply: func(a answer) { status = a.status },
+					reply: func(a answer) { statuses <- a.status },
 				})
 			})
-			return status
+			select {
+			case status := <-statuses:
+				return status
+			default:
+				return 0
+			}
 		}
 		f.loop.ask(func() {
 			for i := range mostRemembered {
