Keep the figures of the concurrency limit only where there is one

Inner copies took a p95 each second and a logarithmic mean for each answer, for a limit that the front alone has.

--- a/balancer.go
+++ b/balancer.go
@@ -386,11 +386,10 @@
 	if b.now >= b.sweepAt {
 		b.sweep()
 	}
-	if b.now >= b.limit.reviseAt {
+	if b.set.Stage == 0 && b.now >= b.limit.reviseAt { // only the front has a limit
 		b.limit.reviseAt = b.now + windowTime
-		if p95, ok := b.p95(nil); b.set.Stage == 0 {
-			b.limit.revise(float64(b.out), p95, ok, b.scratch)
-		}
+		p95, ok := b.p95(nil)
+		b.limit.revise(float64(b.out), p95, ok, b.scratch)
 	}
 	taken := 0
 	for _, q := range b.queue {
@@ -669,12 +668,13 @@
 // first notes that a stream has begun: the attempt belongs to the client now.
 func (b *Balancer) first(ev *Event) {
 	if q := b.requests[ev.Request]; q != nil && int(ev.Attempt) < len(q.attempts) && !q.streaming {
-		q.streaming = true
-		q.attempts[ev.Attempt].streams = true
+		q.streaming, q.attempts[ev.Attempt].streams = true, true
 		q.attempts[ev.Attempt].server.streams++
 		b.heard(q.attempts[ev.Attempt].server)
 		b.learn(q.attempts[ev.Attempt].server, int(q.class), OK, ev.Took)
-		b.limit.observe(b.now, ev.Took/b.classes[q.class].threshold)
+		if b.set.Stage == 0 {
+			b.limit.observe(b.now, ev.Took/b.classes[q.class].threshold)
+		}
 	}
 }
 
@@ -702,7 +702,7 @@
 	}
 	if !q.streaming {
 		b.learn(a.server, int(q.class), ev.Outcome, ev.Took)
-		if ev.Outcome == OK && !ev.Fresh {
+		if ev.Outcome == OK && !ev.Fresh && b.set.Stage == 0 {
 			b.limit.observe(b.now, cmp.Or(ev.Service, ev.Took)/b.classes[q.class].threshold)
 		}
 	}
