Ask sockets in one place, and tell of new connections only at the front

The way to a connection's descriptor stood four times (peek, unacknowledged, leaves, hasLeft); it is socket.go's now. Inner copies told the module of each new connection, which only the front's limit uses, and the id of a safe request was hashed for nothing. A listener whose backlog is full stood twice in the tests.

--- a/internal/sidecar/downstream.go
+++ b/internal/sidecar/downstream.go
@@ -14,7 +14,6 @@
 	"sync"
 	"syscall"
 	"time"
-	"unsafe"
 )
 
 const (
@@ -248,11 +247,7 @@
 			return !errors.Is(err, os.ErrDeadlineExceeded)
 		}
 	}
-	tcp, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := tcp.SyscallConn()
+	raw, err := socket(c.Conn)
 	if err != nil {
 		return false
 	}
@@ -271,7 +266,7 @@
 	case err != nil || n == 0:
 		return true
 	}
-	raw, err := c.Conn.(syscall.Conn).SyscallConn() // bytes behind the request hide the end from a read
+	raw, err := socket(c.Conn) // bytes behind the request hide the end from a read
 	if err != nil {
 		return true
 	}
@@ -280,17 +275,6 @@
 	return err != nil || left
 }
 
-// hungUp looks, without waiting, whether the peer of a socket has ended its sending or reset the connection.
-func hungUp(fd uintptr) bool {
-	const pollRDHup, pollErr, pollHup = 0x2000, 0x8, 0x10
-	p := struct {
-		fd              int32
-		events, revents int16
-	}{fd: int32(fd), events: pollRDHup}
-	n, _, _ := syscall.Syscall6(syscall.SYS_PPOLL, uintptr(unsafe.Pointer(&p)), 1, uintptr(unsafe.Pointer(&syscall.Timespec{})), 0, 0, 0)
-	return n == 1 && p.revents&(pollRDHup|pollErr|pollHup) != 0
-}
-
 // answer writes a final answer. The length goes first, so that a body that breaks off shows.
 func (c *downstreamConn) answer(a *answer, last bool) error {
 	var head bytes.Buffer
--- a/internal/sidecar/exchange.go
+++ b/internal/sidecar/exchange.go
@@ -10,11 +10,8 @@
 	"os"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"forkline"
 )
 
@@ -113,20 +110,6 @@
 	return true
 }
 
-// unacknowledged is how many bytes written to a connection its peer's machine has not acknowledged yet.
-func unacknowledged(c net.Conn) (n int, err error) {
-	socket, ok := c.(syscall.Conn)
-	if !ok {
-		return 0, errors.ErrUnsupported
-	}
-	raw, err := socket.SyscallConn()
-	if err != nil {
-		return 0, err
-	}
-	closed := raw.Control(func(fd uintptr) { n, err = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) })
-	return n, errors.Join(closed, err)
-}
-
 // exchange writes the request, waits for the answer and tells whether the connection can be used again.
 func exchange(a *attempt, c *conn, out *outgoing, until time.Time, hold time.Duration) (forkline.Outcome, *answer, bool) {
 	if outcome, written, keep := writeRequest(a, c, out, until, hold); !written {
--- a/internal/sidecar/leaving_test.go
+++ b/internal/sidecar/leaving_test.go
@@ -9,7 +9,6 @@
 	"net"
 	"net/http"
 	"strings"
-	"syscall"
 	"testing"
 	"time"
 
@@ -235,19 +234,7 @@
 
 // The client leaves while a connection for its request comes up late.
 func TestLeavingWhileDialling(t *testing.T) {
-	ln := listen(t)
-	raw, err := ln.(*net.TCPListener).SyscallConn()
-	if err != nil {
-		t.Fatal(err)
-	}
-	raw.Control(func(fd uintptr) { err = syscall.Listen(int(fd), 0) })
-	if err != nil {
-		t.Fatal(err)
-	}
-	filler, err := net.Dial("tcp", ln.Addr().String()) // a backlog of 0 has room for one
-	if err != nil {
-		t.Fatal(err)
-	}
+	ln, filler := crowded(t)
 	s, arrive := watched(t, patient(t, ln.Addr().String()), func(s *Sidecar) { s.loop.up.grace = 0 }) // else it is late
 	c := arrive("left")
 	c.send("GET", "read", "")
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -84,6 +84,7 @@
 	start     time.Time
 	startMS   float64 // the same as Unix time
 	balancer  *forkline.Balancer
+	limited   bool          // it is at the front, where the module limits the calls out
 	comeBack  time.Duration // told with a refusal of the loop's own
 	actions   []forkline.Action
 	mail      chan func()
@@ -117,6 +118,7 @@
 		directory: newDirectory(cfg.Site.Zones, cfg.Site.Kinds), listed: map[uint32]bool{},
 	}
 	l.margin.loop = l
+	l.limited = cfg.Site.Settings.Stage == 0
 	l.ran, l.remember = newRemembered(), rememberTime(&cfg.Site.Settings)
 	l.comeBack = millis(cfg.Site.Settings.Limits.ComeBack())
 	var err error
@@ -287,12 +289,10 @@
 // id, and may not run twice, has failed: a refusal would say that nothing can have run.
 func (l *loop) turnAway(c *call) *answer {
 	l.ran.expire(l.now())
-	old := l.ids[c.id]
-	ran := l.ran.has(c.id) || l.over && old != nil && (old.mayRun || old.open > 0)
-	switch {
-	case ran && !c.safe:
+	if old := l.ids[c.id]; !c.safe && (l.ran.has(c.id) || l.over && old != nil && (old.mayRun || old.open > 0)) {
 		return &answer{status: statusFailed}
-	case l.over, !c.safe && l.ran.full(len(l.calls)):
+	}
+	if l.over || !c.safe && l.ran.full(len(l.calls)) {
 		return &answer{status: statusRefused, retryAfter: l.comeBack}
 	}
 	return nil
@@ -331,7 +331,9 @@
 		a.whole = l.time(act.Whole)
 	}
 	a.left, out.safe = c.hasLeft, c.safe
-	a.waits = func(waits bool) { l.offer(func() { l.connecting(c, number, waits) }) }
+	if l.limited {
+		a.waits = func(waits bool) { l.offer(func() { l.connecting(c, number, waits) }) }
+	}
 	c.attempts = append(c.attempts, a)
 	c.open++
 	go func() {
--- a/internal/sidecar/race_test.go
+++ b/internal/sidecar/race_test.go
@@ -292,9 +292,10 @@
 	}}
 }
 
-// dialling has an endpoint whose backlog is full, so that a connection to it does not come up.
-func dialling(t *testing.T) *waiting {
-	ln := listen(t)
+// crowded is a listener whose backlog is full, so that connections to it do not come up until the filler is closed.
+func crowded(t *testing.T) (ln net.Listener, filler net.Conn) {
+	t.Helper()
+	ln = listen(t)
 	raw, err := ln.(*net.TCPListener).SyscallConn()
 	if err != nil {
 		t.Fatal(err)
@@ -303,11 +304,17 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	filler, err := net.Dial("tcp", ln.Addr().String()) // a backlog of 0 has room for one
+	filler, err = net.Dial("tcp", ln.Addr().String()) // a backlog of 0 has room for one
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { filler.Close() })
+	return ln, filler
+}
+
+// dialling has an endpoint whose backlog is full, so that a connection to it does not come up.
+func dialling(t *testing.T) *waiting {
+	ln, _ := crowded(t)
 	s := start(t, patient(t, ln.Addr().String()))
 	return &waiting{s, func() {
 		taken(t, s, func(c *call) bool { return c.open == 1 })
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -2,14 +2,12 @@
 
 import (
 	"bufio"
-	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"net"
 	"slices"
 	"sync"
-	"syscall"
 	"time"
 
 	"forkline"
@@ -361,26 +359,3 @@
 	e.idle = slices.Delete(e.idle, 0, 1)
 	u.open--
 }
-
-// stillOpen looks, without waiting, whether the peer has closed an idle connection or sent what nobody asked for.
-func stillOpen(c net.Conn) bool {
-	_, err := peek(c)
-	return errors.Is(err, syscall.EAGAIN)
-}
-
-// peek tells, without waiting, how many bytes can be read: 0 without an error at the end of the stream.
-func peek(c net.Conn) (n int, err error) {
-	socket, ok := c.(syscall.Conn)
-	if !ok {
-		return 0, errors.ErrUnsupported
-	}
-	raw, err := socket.SyscallConn()
-	if err != nil {
-		return 0, err
-	}
-	closed := raw.Control(func(fd uintptr) { // and not Read, which waits for other readers
-		var one [1]byte
-		n, _, err = syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	})
-	return n, cmp.Or(closed, err)
-}
