--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -35,6 +35,7 @@
 var cases = map[string]func(*record, options) (verdict, error){
 	"spoilt-status": spoiltStatus,
 	"second-answer": secondAnswer,
+	"half-requests": halfRequests,
 }
 
 func main() { os.Exit(runCase()) }
