--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,3 +1,3 @@
 #!/bin/sh
 # Plays this case; see claim.txt and ../case.sh.
-exec sh "$(dirname "$0")/../case.sh" 2 second-answer
+exec sh "$(dirname "$0")/../case.sh" 2 spoilt-status
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -33,9 +33,9 @@
 
 // cases maps the name of a case to its function.
 var cases = map[string]func(*record, options) (verdict, error){
-	"spoilt-status": spoiltStatus,
-	"second-answer": secondAnswer,
-	"half-requests": halfRequests,
+	"shifted-answer": shiftedAnswer,
+	"spoilt-status":  spoiltStatus,
+	"second-answer":  secondAnswer,
 }
 
 func main() { os.Exit(runCase()) }
