Never pass on an endpoint's 429, which clients take for a refusal

What callers saw: an unsafe order was answered with 429 and an empty body.

Cause: readResponse (internal/sidecar/exchange.go) passed every 4xx status of an endpoint on as the final response. 429 promises clients that nothing has run. The module's outcome was right (Cancelled, may have run); the client's status was not.

The sidecar's own refusals are 503, and only that line writes another status of an endpoint. Ruled out: a refusal by the module, the loop or the drain (503 each), and a repeat by the sidecar (the second run has the client's new ID).

Change: isRefusal names the two statuses that clients take for a refusal, and none of them is passed on. An endpoint's 429 is an Error, a failed attempt that may have run, so the module decides as after a 500.

--- a/internal/sidecar/exchange.go
+++ b/internal/sidecar/exchange.go
@@ -210,12 +210,20 @@
 		return forkline.OK, &response{status: status, header: stripHopByHop(m.header), body: body}, reusable
 	case (status == http.StatusServiceUnavailable || status == http.StatusGatewayTimeout) && m.header.Get("X-Not-Run") == "1":
 		return c.notRunOutcome(outgoing, reusable)
-	case status/100 == 4: // the request is at fault: other endpoints would reject it too, and this one is healthy
+	case status/100 == 4 && !isRefusal(status):
+		// The request is at fault: other endpoints would reject it too, and this one is healthy.
 		return forkline.Cancelled, &response{status: status}, reusable
 	}
 	return forkline.Error, nil, reusable
 }
 
+// isRefusal reports whether a client takes a status as a promise that its request has not run and may be sent again.
+// Only the sidecar can promise that, because it knows of all attempts. A response of an endpoint with such a status
+// proves nothing unless it marks the request as not run, so the status is never passed on.
+func isRefusal(status int) bool {
+	return status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable
+}
+
 // notRunOutcome returns the outcome of a response that marks the request as not run. Responses carry no request ID.
 // On a connection that has received such a response before, this one may be a late duplicate while the request is
 // running. It then proves nothing for a request that is not safe, and later responses on the connection cannot be
--- a/internal/sidecar/upstream_test.go
+++ b/internal/sidecar/upstream_test.go
@@ -94,6 +94,8 @@
 		{"503 without X-Not-Run", "HTTP/1.1 503 U\r\nContent-Length: 0\r\n\r\n", forkline.Error},
 		{"500 with X-Not-Run", "HTTP/1.1 500 E\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", forkline.Error},
 		{"client error", "HTTP/1.1 400 B\r\nContent-Length: 0\r\n\r\n", forkline.Cancelled},
+		{"429", "HTTP/1.1 429 T\r\nContent-Length: 0\r\n\r\n", forkline.Error},
+		{"429 with X-Not-Run", "HTTP/1.1 429 T\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", forkline.Error},
 		{"closed without a response", "", forkline.Reset},
 		{"truncated header", "HTTP/1.1 200 OK\r\nContent-", forkline.Reset},
 		{"truncated body", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhi", forkline.Reset},
