Take no contradictory X-Not-Run headers as proof that a request has not run

What callers would see: an unsafe request that runs at several endpoints.

Cause: readResponse (internal/sidecar/exchange.go) read only the first X-Not-Run header, so a 503 with "1" and "0" was a proof.

Change: marksNotRun wants exactly one such header, with the value 1. Other responses are errors: the request may have run.

Test: TestContradictoryNotRunIsNoProof. Without the change the case "1 and 0" fails with 503 after four runs of an unsafe request; the cases "0 and 1" and "1, 0" passed before and guard the order and the list.

--- a/internal/sidecar/exchange.go
+++ b/internal/sidecar/exchange.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -208,7 +209,7 @@
 	switch {
 	case status == http.StatusOK:
 		return forkline.OK, &response{status: status, header: stripHopByHop(m.header), body: body}, reusable
-	case (status == http.StatusServiceUnavailable || status == http.StatusGatewayTimeout) && m.header.Get("X-Not-Run") == "1":
+	case marksNotRun(status, m.header):
 		return c.notRunOutcome(outgoing, reusable)
 	case status/100 == 4 && !isRefusal(status):
 		// The request is at fault: other endpoints would reject it too, and this one is healthy.
@@ -217,6 +218,12 @@
 	return forkline.Error, nil, reusable
 }
 
+// marksNotRun reports whether a response marks its request as not run. One that repeats the header is ambiguous.
+func marksNotRun(status int, header http.Header) bool {
+	return (status == http.StatusServiceUnavailable || status == http.StatusGatewayTimeout) &&
+		slices.Equal(header["X-Not-Run"], []string{"1"})
+}
+
 // isRefusal reports whether a client takes a status as a promise that its request has not run and may be sent again.
 // Only the sidecar can promise that, because it knows of all attempts. A response of an endpoint with such a status
 // proves nothing unless it marks the request as not run, so the status is never passed on.
--- a/internal/sidecar/refusal_test.go
+++ b/internal/sidecar/refusal_test.go
@@ -8,6 +8,21 @@
 	"testing"
 )
 
+// startBetweenEqualServers starts a sidecar with two servers that run each request and answer it with the given text. It
+// returns a client and the number of runs so far.
+func startBetweenEqualServers(t *testing.T, answer string) (c *client, runs *atomic.Int32) {
+	t.Helper()
+	runs = new(atomic.Int32)
+	run := func(_ int, conn net.Conn, _ *http.Request) bool {
+		runs.Add(1)
+		io.WriteString(conn, answer)
+		return true
+	}
+	cfg := testConfig(t, startServer(t, run).Addr().String(), startServer(t, run).Addr().String())
+	cfg.Site.Settings.Limits.ConnectTimeout = float64(testTimeout.Milliseconds())
+	return dial(t, startSidecar(t, cfg)), runs
+}
+
 // Guards against a request that runs twice because an endpoint's 429 was passed on and its client took it for a refusal.
 func TestEndpointStatusIsNotPassedOnAsRefusal(t *testing.T) {
 	const end = "Content-Length: 0\r\n\r\n"
@@ -23,15 +38,7 @@
 	} {
 		for _, class := range []string{"pay", "add"} {
 			t.Run(name+", "+class, func(t *testing.T) {
-				var runs atomic.Int32
-				answering := func(_ int, c net.Conn, _ *http.Request) bool {
-					runs.Add(1)
-					io.WriteString(c, answer)
-					return true
-				}
-				cfg := testConfig(t, startServer(t, answering).Addr().String(), startServer(t, answering).Addr().String())
-				cfg.Site.Settings.Limits.ConnectTimeout = float64(testTimeout.Milliseconds())
-				c := dial(t, startSidecar(t, cfg))
+				c, runs := startBetweenEqualServers(t, answer)
 				c.send("POST", class, "body", "Idempotency-Key: k1")
 				res, _ := c.readResponse(t)
 				if res.StatusCode != statusFailed {
@@ -44,3 +51,20 @@
 		}
 	}
 }
+
+// Guards against a request that the sidecar runs at two endpoints because it trusts a response that contradicts itself.
+func TestContradictoryNotRunIsNoProof(t *testing.T) {
+	for name, headers := range map[string]string{
+		"1 and 0": "X-Not-Run: 1\r\nX-Not-Run: 0\r\n",
+		"0 and 1": "X-Not-Run: 0\r\nX-Not-Run: 1\r\n",
+		"a list":  "X-Not-Run: 1, 0\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			c, runs := startBetweenEqualServers(t, "HTTP/1.1 503 Service Unavailable\r\n"+headers+"Content-Length: 0\r\n\r\n")
+			c.send("POST", "pay", "body")
+			if res, _ := c.readResponse(t); res.StatusCode != statusFailed || runs.Load() != 1 {
+				t.Errorf("status %d after %d runs, want %d after one", res.StatusCode, runs.Load(), statusFailed)
+			}
+		})
+	}
+}
