Fuzz that no endpoint's response is passed on as a refusal or proves more than defined

Guards the paths beside the endpoint's 429: whatever an endpoint sends, no 429 or 503 is passed on, and a response counts as a proof only if net/http reads one X-Not-Run header of value 1 with 503 or 504.

--- a/internal/sidecar/refusal_test.go
+++ b/internal/sidecar/refusal_test.go
@@ -1,11 +1,17 @@
 package sidecar
 
 import (
+	"bufio"
+	"bytes"
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"testing"
+	"time"
+
+	"forkline"
 )
 
 // startBetweenEqualServers starts a sidecar with two servers that run each request and answer it with the given text. It
@@ -68,3 +74,41 @@
 		})
 	}
 }
+
+// Guards against requests that run twice because of any other response that is passed on as a refusal or taken for a proof.
+func FuzzResponseProvesNoMoreThanDefined(f *testing.F) {
+	for _, text := range []string{
+		"HTTP/1.1 429 T\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 503 U\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 504 G\r\nx-not-run: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", "HTTP/1.1 204 N\r\nX-Not-Run: 1\r\n\r\n",
+		"HTTP/1.0 400 B\r\nContent-Length: 2\r\n\r\nhi", "HTTP/1.1 503 U\r\nX-Not-Run: 1\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 103 E\r\nX-Not-Run: 1\r\n\r\nHTTP/1.1 503 U\r\nContent-Length: 0\r\n\r\n",
+	} {
+		f.Add([]byte(text))
+	}
+	f.Fuzz(func(t *testing.T, text []byte) {
+		c := &conn{reader: bufio.NewReader(bytes.NewReader(text))}
+		outcome, final, _ := readResponse(newAttempt(time.Time{}), c, newGetRequest())
+		if final != nil && (final.status == http.StatusTooManyRequests || final.status == http.StatusServiceUnavailable) {
+			t.Errorf("status %d is passed on", final.status)
+		}
+		if final != nil && outcome != forkline.OK && outcome != forkline.Cancelled {
+			t.Errorf("outcome %v with a final response", outcome)
+		}
+		if outcome == forkline.Rejected && !isMarkedNotRun(text) {
+			t.Errorf("%q counts as a proof", text)
+		}
+	})
+}
+
+// isMarkedNotRun reports whether a message is a response that marks its request as not run, as net/http reads it.
+func isMarkedNotRun(text []byte) bool {
+	reader := bufio.NewReader(bytes.NewReader(text))
+	res, err := http.ReadResponse(reader, nil)
+	for err == nil && res.StatusCode < 200 {
+		res, err = http.ReadResponse(reader, nil)
+	}
+	if err != nil {
+		return true // net/http is stricter
+	}
+	return (res.StatusCode == 503 || res.StatusCode == 504) && slices.Equal(res.Header["X-Not-Run"], []string{"1"})
+}
