Log responses of endpoints that the protocol does not define

What operators saw: nothing.

Change: an attempt keeps what is wrong with its response (responseError: the status or why it cannot be read, and what to do). The attempt's goroutine logs it after its outcome has been posted, so a log that blocks delays no answer; one line a second at most, with the number of those left out (golang.org/x/time/rate). isMalformed now serves the front and the endpoints alike.

Test: TestInvalidResponsesAreLogged, TestInvalidResponseLogIsLimited. Neither compiles without the change.

--- a/internal/sidecar/exchange.go
+++ b/internal/sidecar/exchange.go
@@ -57,8 +57,9 @@
 	aborted            bool // guarded by mu
 
 	// The fields below are written by the attempt's goroutine and may be read by others once do has returned.
-	newConnection bool          // the connection was dialed for this attempt
-	serviceTime   time.Duration // from its last byte to the first byte of the response; 0 = no response
+	newConnection bool           // the connection was dialed for this attempt
+	serviceTime   time.Duration  // from its last byte to the first byte of the response; 0 = no response
+	responseErr   *responseError // what is wrong with the response; nil = nothing, or no response
 }
 
 func newAttempt(firstByteBy time.Time) *attempt {
--- a/internal/sidecar/front.go
+++ b/internal/sidecar/front.go
@@ -159,11 +159,10 @@
 
 // rejectUnreadable answers input that is not a valid request. A connection that times out or breaks is just closed.
 func (f *front) rejectUnreadable(c *downstreamConn, err error) {
-	_, isNetError := err.(net.Error)
 	switch {
 	case err == errTooLarge:
 		c.reject(http.StatusRequestEntityTooLarge, err.Error())
-	case !isNetError && err != io.EOF && err != io.ErrUnexpectedEOF:
+	case isMalformed(err):
 		c.reject(http.StatusBadRequest, err.Error())
 	}
 }
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -109,6 +109,7 @@
 	serverReady       map[uint32]bool // all listed servers, and whether each is ready
 	readyServers      int             // number of listed servers that are ready
 	margin            margin
+	responseLog       *responseLog
 }
 
 func newLoop(cfg *Config, u *upstream) (*loop, error) {
@@ -119,7 +120,7 @@
 		calls: map[uint32]*call{}, callsByID: map[string]*call{}, timer: time.NewTimer(time.Hour), timerAt: math.Inf(1),
 		directory: newDirectory(cfg.Site.Zones, cfg.Site.Kinds), serverReady: map[uint32]bool{},
 	}
-	l.margin.loop = l
+	l.margin.loop, l.responseLog = l, newResponseLog(slog.Default())
 	l.limitsConcurrency = cfg.Site.Settings.Stage == 0
 	l.endedIDs, l.idRetention = newRecentIDs(), idRetentionFor(&cfg.Site.Settings)
 	l.retryAfter = msToDuration(cfg.Site.Settings.Limits.RetryAfter())
@@ -351,6 +352,9 @@
 			l.margin.observe(deadline.Intake, l.clockMS(endedAt))
 			l.attemptEnded(c, number, server, outcome, final, endedAt.Sub(sentAt))
 		})
+		if a.responseErr != nil { // after the outcome is posted, as writing the log may block
+			l.responseLog.report(e.addr, c.id, a.responseErr)
+		}
 	}()
 }
 
--- a/internal/sidecar/message.go
+++ b/internal/sidecar/message.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httputil"
 	"net/textproto"
@@ -30,6 +31,13 @@
 	errTooLarge      = errors.New("the message is over the limit")
 )
 
+// isMalformed reports whether a message could not be read because of its content, and not because its connection ended
+// or timed out.
+func isMalformed(err error) bool {
+	_, isNetError := err.(net.Error)
+	return !isNetError && err != io.EOF && err != io.ErrUnexpectedEOF
+}
+
 // Special values of message.length.
 const (
 	lengthChunked     = -1
--- a/internal/sidecar/outcome.go
+++ b/internal/sidecar/outcome.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"net/http"
 	"os"
 	"slices"
@@ -18,6 +19,9 @@
 	// A request whose response cannot be read completely may have run, whatever its status line says.
 	status, m, body, err := readFinalResponse(c.reader)
 	if err != nil {
+		if isMalformed(err) {
+			a.responseErr = &responseError{cause: err}
+		}
 		return errorOutcome(a, err, forkline.Reset), nil, false
 	}
 	// Extra bytes after a valid response do not invalidate it, but later responses on the connection cannot be
@@ -32,9 +36,28 @@
 		// The request is at fault: other endpoints would reject it too, and this one is healthy.
 		return forkline.Cancelled, &response{status: status}, reusable
 	}
+	if status != http.StatusInternalServerError {
+		a.responseErr = &responseError{status: status}
+	}
 	return forkline.Error, nil, reusable
 }
 
+// responseError reports a response that the protocol does not define. Its request may have run.
+type responseError struct {
+	status int   // 0 if the response cannot be read
+	cause  error // why it cannot be read
+}
+
+func (e *responseError) Error() string {
+	problem := fmt.Sprintf("status %d is not defined for endpoints", e.status)
+	if e.cause != nil {
+		problem = fmt.Sprintf("the response is malformed: %v", e.cause)
+	}
+	return problem + "; the request may have run and counts as failed: correct the endpoint or remove it from discovery"
+}
+
+func (e *responseError) Unwrap() error { return e.cause }
+
 // marksNotRun reports whether a response marks its request as not run. One that repeats the header is ambiguous.
 func marksNotRun(status int, header http.Header) bool {
 	return (status == http.StatusServiceUnavailable || status == http.StatusGatewayTimeout) &&
