--- a/internal/sidecar/call.go
+++ b/internal/sidecar/call.go
@@ -125,25 +125,20 @@
 
 // send starts an attempt in a new goroutine, which posts the outcome to the loop.
 func (l *loop) send(c *call, action *forkline.Action) {
-	server, attemptDeadline := action.Server, action.Deadline
-	sentAt, firstByteBy := time.Now(), time.Time{}
-	if l.upstream.firstByteTimeout > 0 {
-		firstByteBy = sentAt.Add(l.upstream.firstByteTimeout)
-	}
-	a, e, number, outgoing := newAttempt(firstByteBy), l.upstream.find(server), len(c.attempts), c.outgoing
-	if action.LastByteBy > 0 {
-		a.lastByteBy = l.timeAt(action.LastByteBy)
-	}
-	a.clientDisconnected, outgoing.safe = c.clientDisconnected, c.safe
-	if l.limitsConcurrency {
-		a.onConnecting = func(connecting bool) { l.tryPost(func() { l.reportConnecting(c, number, connecting) }) }
-	}
+	sentAt := time.Now()
+	number := len(c.attempts)
+	a := l.newAttempt(c, action, sentAt)
+	target := l.upstream.find(action.Server)
+	outgoing := c.outgoing
+	outgoing.safe = c.safe
+	server := action.Server
+	attemptDeadline := l.timeAt(action.Deadline)
 	c.attempts = append(c.attempts, a)
 	c.openAttempts++
 	go func() {
 		outcome, final := forkline.NotSent, (*response)(nil)
-		if e != nil {
-			outcome, final = l.upstream.do(a, e, &outgoing, l.timeAt(attemptDeadline))
+		if target != nil {
+			outcome, final = l.upstream.do(a, target, &outgoing, attemptDeadline)
 		}
 		endedAt := time.Now()
 		l.post(func() {
@@ -151,11 +146,29 @@
 			l.attemptEnded(c, number, server, outcome, final, endedAt.Sub(sentAt))
 		})
 		if a.responseErr != nil { // after the outcome is posted, as writing the log may block
-			l.responseLog.report(e.addr, c.id, a.responseErr)
+			l.responseLog.report(target.addr, c.id, a.responseErr)
 		}
 	}()
 }
 
+// newAttempt returns the next attempt of a call, with the times that the action and the settings allow it.
+func (l *loop) newAttempt(c *call, action *forkline.Action, sentAt time.Time) *attempt {
+	firstByteBy := time.Time{}
+	if l.upstream.firstByteTimeout > 0 {
+		firstByteBy = sentAt.Add(l.upstream.firstByteTimeout)
+	}
+	a := newAttempt(firstByteBy)
+	if action.LastByteBy > 0 {
+		a.lastByteBy = l.timeAt(action.LastByteBy)
+	}
+	a.clientDisconnected = c.clientDisconnected
+	if l.limitsConcurrency {
+		number := len(c.attempts)
+		a.onConnecting = func(connecting bool) { l.tryPost(func() { l.reportConnecting(c, number, connecting) }) }
+	}
+	return a
+}
+
 // reportConnecting reports to the module that an attempt has started or stopped waiting for a new connection.
 func (l *loop) reportConnecting(c *call, number int, connecting bool) {
 	kind := forkline.EvConnected
--- a/internal/sidecar/exchange.go
+++ b/internal/sidecar/exchange.go
@@ -165,28 +165,15 @@
 	if a.firstByteLate() { // the endpoint may be draining by now, or may forget an earlier attempt of this request
 		return forkline.ConnectFailed, false, c.idleFor == 0
 	}
-	if !outgoing.atMostOnce {
-		breakCheck = 0
-	}
 	if outgoing.atMostOnce || len(text) > maxSingleWrite {
-		last := len(text) - 1
-		if err := write(c, text[:last], breakCheck); err != nil {
-			c.brokeEarly = errorOutcome(a, err, forkline.Reset) == forkline.Reset
-			return errorOutcome(a, err, forkline.ConnectFailed), false, false
+		if !outgoing.atMostOnce {
+			breakCheck = 0
 		}
-		if c.idleFor > 0 && c.reader.Buffered() > 0 { // a duplicate response to an earlier request
-			c.desynced = true
-			return forkline.ConnectFailed, false, false
+		last := len(text) - 1
+		if outcome, ok := writeBeforeLastByte(a, c, text[:last], deadline, breakCheck); !ok {
+			return outcome, false, false
 		}
 		text = text[last:]
-		c.SetReadDeadline(deadline)
-		delivered := a.awaitDelivery(c.Conn)
-		if !a.mayWrite() {
-			return unwrittenOutcome(a), false, false
-		}
-		if !delivered || a.lastByteLate() {
-			return forkline.ConnectFailed, false, false
-		}
 	}
 	if err := write(c, text, 0); err != nil {
 		c.brokeEarly = errorOutcome(a, err, forkline.Reset) == forkline.Reset
@@ -195,6 +182,28 @@
 	return 0, true, false
 }
 
+// writeBeforeLastByte writes all of a request but its last byte and reports whether that byte may be written now. If
+// not, the outcome says why.
+func writeBeforeLastByte(a *attempt, c *conn, text []byte, deadline time.Time, breakCheck time.Duration) (outcome forkline.Outcome, ok bool) {
+	if err := write(c, text, breakCheck); err != nil {
+		c.brokeEarly = errorOutcome(a, err, forkline.Reset) == forkline.Reset
+		return errorOutcome(a, err, forkline.ConnectFailed), false
+	}
+	if c.idleFor > 0 && c.reader.Buffered() > 0 { // a duplicate response to an earlier request
+		c.desynced = true
+		return forkline.ConnectFailed, false
+	}
+	c.SetReadDeadline(deadline)
+	delivered := a.awaitDelivery(c.Conn)
+	if !a.mayWrite() {
+		return unwrittenOutcome(a), false
+	}
+	if !delivered || a.lastByteLate() {
+		return forkline.ConnectFailed, false
+	}
+	return 0, true
+}
+
 // write writes text, then waits for the duration breakCheck for the connection to break.
 func write(c *conn, text []byte, breakCheck time.Duration) error {
 	if n, err := c.Write(text); n < len(text) || breakCheck <= 0 {
