--- a/internal/sidecar/exchange_test.go
+++ b/internal/sidecar/exchange_test.go
@@ -94,45 +94,6 @@
 	}
 }
 
-// A response that marks its request as not run may be a late duplicate of the previous one on the connection. It must not
-// cause a retry of a request that may be running, and later responses must not be attributed to other requests.
-func TestSecondNotRunResponseProvesNothing(t *testing.T) {
-	const notRun = "HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
-	for name, c := range map[string]struct {
-		atMostOnce, safe bool
-		want             forkline.Outcome
-		open             int
-	}{
-		"keyed":  {want: forkline.Reset},
-		"safe":   {safe: true, want: forkline.Rejected},
-		"unsafe": {atMostOnce: true, want: forkline.OK, open: 2}, // sent on another connection
-	} {
-		t.Run(name, func(t *testing.T) {
-			ln := startServer(t, func(n int, c net.Conn, r *http.Request) bool {
-				if n > 0 {
-					return echo(n, c, r)
-				}
-				io.WriteString(c, notRun) // for the second request this is the duplicate
-				return true
-			})
-			u := newTestUpstream(ln.Addr().String(), 4)
-			if got, _ := doAttempt(u, testTimeout); got != forkline.Rejected {
-				t.Fatalf("outcome %v of the first request", got)
-			}
-			first := u.find(1).idle[0]
-			outgoing := newGetRequest()
-			outgoing.atMostOnce, outgoing.safe = c.atMostOnce, c.safe
-			if got, _ := u.do(newAttempt(time.Time{}), u.find(1), outgoing, time.Now().Add(testTimeout)); got != c.want {
-				t.Errorf("outcome %v, want %v", got, c.want)
-			}
-			pooled := slices.Contains(u.find(1).idle, first)
-			if pooled != c.atMostOnce || u.openConns != c.open {
-				t.Errorf("first connection in the pool: %v; %d connections open, want %d", pooled, u.openConns, c.open)
-			}
-		})
-	}
-}
-
 // The service time must be the time from the last byte of the request to the first byte of the response. It is measured in
 // virtual time.
 func TestServiceTime(t *testing.T) {
--- a/internal/sidecar/front_test.go
+++ b/internal/sidecar/front_test.go
@@ -11,37 +11,6 @@
 	"time"
 )
 
-// startWithRecordingServer starts a sidecar with one endpoint, which serves every request. It returns the sidecar and the
-// IDs of the requests that reach the endpoint. If configure is not nil, it is called before the sidecar runs.
-func startWithRecordingServer(t *testing.T, configure func(*Sidecar)) (*Sidecar, chan string) {
-	t.Helper()
-	received := make(chan string, 1000)
-	s, err := New(longTimeoutConfig(t, startServer(t, func(n int, c net.Conn, r *http.Request) bool {
-		received <- r.Header.Get("X-Request-Id")
-		return echo(n, c, r)
-	}).Addr().String()))
-	if err != nil {
-		t.Fatal(err)
-	}
-	s.cachedListDelay = 0
-	if configure != nil {
-		configure(s)
-	}
-	go s.Run(t.Context())
-	return s, received
-}
-
-// readUntilClose waits until the sidecar closes the connection and returns everything that it wrote.
-func (c *client) readUntilClose(t *testing.T) string {
-	t.Helper()
-	c.SetReadDeadline(time.Now().Add(testTimeout))
-	text, err := io.ReadAll(c.reader)
-	if e, ok := err.(net.Error); ok && e.Timeout() {
-		t.Fatalf("the connection is still open after %q", text)
-	}
-	return string(text)
-}
-
 // A request that is ambiguous or cannot be parsed must get an error and must not be forwarded, and its connection must be
 // closed: the bytes after it may contain a smuggled request.
 func TestUnparsableRequestEndsTheConnection(t *testing.T) {
--- a/internal/sidecar/reload_test.go
+++ b/internal/sidecar/reload_test.go
@@ -75,12 +75,6 @@
 	return c
 }
 
-func (c *client) readStatus(t *testing.T) int {
-	t.Helper()
-	res, _ := c.readResponse(t)
-	return res.StatusCode
-}
-
 // After a reload a new class must be served and a removed one must not be found. A request that was open during the
 // reload must still be answered.
 func TestReloadClasses(t *testing.T) {
--- a/internal/sidecar/upstream_test.go
+++ b/internal/sidecar/upstream_test.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"runtime"
-	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,49 +14,6 @@
 	"forkline"
 )
 
-const testTimeout = 10 * time.Second // longer than any wait in a test that passes
-
-// listenLoopback opens a loopback listener that is closed when the test ends.
-func listenLoopback(t *testing.T) net.Listener {
-	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { ln.Close() })
-	return ln
-}
-
-// startServer starts an HTTP server on loopback that passes each request to handle, with the number of its connection,
-// which counts from 0. It closes the connection when handle returns false.
-func startServer(t *testing.T, handle func(n int, c net.Conn, req *http.Request) (more bool)) net.Listener {
-	t.Helper()
-	ln := listenLoopback(t)
-	go func() {
-		for n := 0; ; n++ {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				r := bufio.NewReader(c)
-				for {
-					req, err := http.ReadRequest(r)
-					if err != nil {
-						return
-					}
-					io.Copy(io.Discard, req.Body)
-					if !handle(n, c, req) {
-						return
-					}
-				}
-			}()
-		}
-	}()
-	return ln
-}
-
 // newGetRequest returns a GET request.
 func newGetRequest() *upstreamRequest {
 	return &upstreamRequest{
@@ -79,77 +35,6 @@
 	return u
 }
 
-// The behavior of an endpoint must be reported to the module as an outcome that states correctly whether the request may
-// have run, because the module decides on retries and refusals by it.
-func TestOutcomes(t *testing.T) {
-	for _, c := range []struct {
-		name string
-		sent string // what the endpoint writes before it closes the connection
-		want forkline.Outcome
-	}{
-		{"served", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi", forkline.OK},
-		{"error", "HTTP/1.1 500 E\r\nContent-Length: 0\r\n\r\n", forkline.Error},
-		{"rejected", "HTTP/1.1 503 U\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", forkline.Rejected},
-		{"deadline passed", "HTTP/1.1 504 G\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", forkline.Rejected},
-		{"503 without X-Not-Run", "HTTP/1.1 503 U\r\nContent-Length: 0\r\n\r\n", forkline.Error},
-		{"500 with X-Not-Run", "HTTP/1.1 500 E\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", forkline.Error},
-		{"client error", "HTTP/1.1 400 B\r\nContent-Length: 0\r\n\r\n", forkline.Cancelled},
-		{"429", "HTTP/1.1 429 T\r\nContent-Length: 0\r\n\r\n", forkline.Error},
-		{"429 with X-Not-Run", "HTTP/1.1 429 T\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", forkline.Error},
-		{"closed without a response", "", forkline.Reset},
-		{"truncated header", "HTTP/1.1 200 OK\r\nContent-", forkline.Reset},
-		{"truncated body", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhi", forkline.Reset},
-		{"truncated chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n", forkline.Reset},
-		{"body over the limit", "HTTP/1.1 200 OK\r\nContent-Length: 65537\r\n\r\n" + strings.Repeat("x", maxBodyBytes+1), forkline.Reset},
-		{"incomplete huge body", "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nxyz", forkline.Reset},
-		{"chunks over the limit", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n10001\r\n" + strings.Repeat("x", maxBodyBytes+1), forkline.Reset},
-		{"chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\nX-T: 1\r\n\r\n", forkline.OK},
-		{"no length", "HTTP/1.1 200 OK\r\n\r\nhi", forkline.Reset}, // the body may be truncated
-		{"two lengths", "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nhi", forkline.Reset},
-		{"length and chunks", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", forkline.Reset},
-		{"negative length", "HTTP/1.1 200 OK\r\nContent-Length: -2\r\n\r\nhi", forkline.Reset},
-		{"noise", "\x16\x03\x01\x00\n\n\n\n", forkline.Reset},
-		{"no status", "HTTP/1.1 OK 200\r\nContent-Length: 2\r\n\r\nhi", forkline.Reset},
-		{"other protocol", "ICY 200 OK\r\nContent-Length: 2\r\n\r\nhi", forkline.Reset},
-		{"invalid header line", "HTTP/1.1 200 OK\r\nno colon\r\nContent-Length: 2\r\n\r\nhi", forkline.Reset},
-		{"head without end", "HTTP/1.1 200 OK\r\n" + strings.Repeat("X-Pad: p\r\n", maxHeadBytes), forkline.Reset},
-		{"truncated body with X-Not-Run", "HTTP/1.1 503 U\r\nX-Not-Run: 1\r\nContent-Length: 9\r\n\r\nhi", forkline.Reset},
-		{"interim responses", "HTTP/1.1 100 C\r\n\r\nHTTP/1.1 103 E\r\nLink: </a>\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi", forkline.OK},
-		{"too many interim responses", strings.Repeat("HTTP/1.1 103 E\r\n\r\n", maxInterimResponses+1), forkline.Reset},
-		{"duplicate response", strings.Repeat("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi", 2), forkline.OK},
-	} {
-		t.Run(c.name, func(t *testing.T) {
-			ln := startServer(t, func(_ int, conn net.Conn, _ *http.Request) bool {
-				io.WriteString(conn, c.sent)
-				return false
-			})
-			got, a := doAttempt(newTestUpstream(ln.Addr().String(), 4), testTimeout)
-			final := c.want == forkline.OK || c.want == forkline.Cancelled
-			if got != c.want || (a != nil) != final {
-				t.Fatalf("outcome %v with response %v, want %v", got, a, c.want)
-			}
-			if got == forkline.OK && string(a.body) != "hi" {
-				t.Errorf("body %q, want \"hi\"", a.body)
-			}
-		})
-	}
-	t.Run("silent", func(t *testing.T) {
-		release := make(chan struct{})
-		defer close(release)
-		ln := startServer(t, func(int, net.Conn, *http.Request) bool { <-release; return false })
-		if got, _ := doAttempt(newTestUpstream(ln.Addr().String(), 4), time.Second); got != forkline.Timeout {
-			t.Errorf("outcome %v, want a timeout", got)
-		}
-	})
-	t.Run("refused", func(t *testing.T) {
-		ln := listenLoopback(t)
-		ln.Close()
-		if got, _ := doAttempt(newTestUpstream(ln.Addr().String(), 4), testTimeout); got != forkline.ConnectFailed {
-			t.Errorf("outcome %v, want a failed connect", got)
-		}
-	})
-}
-
 // A request whose connection breaks must not be sent again without a decision of the module. http.Transport would retry it
 // by itself.
 func TestNoRetryOnBrokenConnection(t *testing.T) {
