--- a/internal/sidecar/disconnect_test.go
+++ b/internal/sidecar/disconnect_test.go
@@ -321,7 +321,7 @@
 					return echo(n, c, r)
 				}
 				<-reject
-				io.WriteString(c, "HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
+				io.WriteString(c, notRunResponse)
 				return true
 			}
 			s, connect := startTracked(t, longTimeoutConfig(t, startServer(t, respond).Addr().String(), startServer(t, respond).Addr().String()), nil)
--- a/internal/sidecar/helpers_test.go
+++ b/internal/sidecar/helpers_test.go
@@ -213,6 +213,17 @@
 	return ln
 }
 
+// notRunResponse is a response that marks its request as not run.
+const notRunResponse = "HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+
+// respondWith returns a handler for startServer that answers every request with the given text.
+func respondWith(text string) func(n int, c net.Conn, req *http.Request) bool {
+	return func(_ int, c net.Conn, _ *http.Request) bool {
+		io.WriteString(c, text)
+		return true
+	}
+}
+
 // echo answers every request with its method, URI, ID and idempotency key.
 func echo(_ int, c net.Conn, r *http.Request) bool {
 	body := fmt.Sprint(r.Method, " ", r.RequestURI, " ", r.Header.Get("X-Request-Id"), " ", r.Header.Get("Idempotency-Key"))
--- a/internal/sidecar/outcome_test.go
+++ b/internal/sidecar/outcome_test.go
@@ -189,7 +189,6 @@
 // A response that marks its request as not run may be a late duplicate of the previous one on the connection. It must not
 // cause a retry of a request that may be running, and later responses must not be attributed to other requests.
 func TestSecondNotRunResponseProvesNothing(t *testing.T) {
-	const notRun = "HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
 	for name, c := range map[string]struct {
 		atMostOnce, safe bool
 		want             forkline.Outcome
@@ -204,7 +203,7 @@
 				if n > 0 {
 					return echo(n, c, r)
 				}
-				io.WriteString(c, notRun) // for the second request this is the duplicate
+				io.WriteString(c, notRunResponse) // for the second request this is the duplicate
 				return true
 			})
 			u := newTestUpstream(ln.Addr().String(), 4)
--- a/internal/sidecar/race_test.go
+++ b/internal/sidecar/race_test.go
@@ -183,7 +183,7 @@
 		received <- r.Header.Get("X-Request-Id")
 		if len(received) == 1 && n == 0 {
 			setServerState(s, &cfg, "Terminating")
-			io.WriteString(c, "HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
+			io.WriteString(c, notRunResponse)
 			return true
 		}
 		return echo(n, c, r)
--- a/internal/sidecar/recent_ids_test.go
+++ b/internal/sidecar/recent_ids_test.go
@@ -15,7 +15,6 @@
 // A client whose connection was reset during the response retries some time after its request has ended. The retry must
 // fail if the request may have run and must not run twice. It is served if the request did not run or is safe.
 func TestClientRetryAfterEndRunsOnce(t *testing.T) {
-	const notRun = "HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
 	for name, c := range map[string]struct {
 		method, class         string
 		firstResponse         string // response of the endpoint to the original request; "" serves it
@@ -23,7 +22,7 @@
 	}{
 		"unsafe, served":         {"POST", "pay", "", 1, statusFailed},
 		"unsafe, cut off":        {"POST", "pay", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n", 1, statusFailed},
-		"unsafe, not run":        {"POST", "pay", notRun, 2, 200},
+		"unsafe, not run":        {"POST", "pay", notRunResponse, 2, 200},
 		"keyed, served":          {"POST", "add", "", 1, statusFailed},
 		"safe, served":           {"GET", "read", "", 2, 200},
 		"unsafe, after abortAll": {"POST", "pay", "", 1, statusFailed},
@@ -34,7 +33,7 @@
 				received <- struct{}{}
 				if len(received) == 1 && c.firstResponse != "" {
 					io.WriteString(conn, c.firstResponse)
-					return c.firstResponse == notRun
+					return c.firstResponse == notRunResponse
 				}
 				return echo(n, conn, r)
 			}).Addr().String())
--- a/internal/sidecar/reload_test.go
+++ b/internal/sidecar/reload_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"slices"
@@ -472,10 +471,7 @@
 // Connections must follow the new limits after a reload: idle connections over the new idle timeout are closed, and the
 // trusted idle time that was learned is kept if it is lower than the new idle timeout.
 func TestReloadConnectionLimits(t *testing.T) {
-	ln := startServer(t, func(_ int, c net.Conn, _ *http.Request) bool {
-		io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
-		return true
-	})
+	ln := startServer(t, respondWith("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"))
 	u := newTestUpstream(ln.Addr().String(), 4)
 	u.configure(forkline.Limits{IdleTimeout: 3.6e6}, 0)
 	if u.trustedIdle != u.idleTimeout || u.idleTimeout != 48*time.Minute {
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -109,10 +109,7 @@
 
 // A request that an endpoint rejects has not run. It must be sent to another endpoint, here one that serves it.
 func TestRejectedRequestIsSentElsewhere(t *testing.T) {
-	rejecting := startServer(t, func(_ int, c net.Conn, _ *http.Request) bool {
-		io.WriteString(c, "HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
-		return true
-	})
+	rejecting := startServer(t, respondWith(notRunResponse))
 	s := startSidecar(t, testConfig(t, rejecting.Addr().String(), startServer(t, echo).Addr().String()))
 	c := dial(t, s)
 	for i := range 4 {
@@ -126,10 +123,7 @@
 
 // A refusal must state when to retry, and must be sent long before the deadline.
 func TestRefusalHasRetryAfter(t *testing.T) {
-	reject := func(_ int, c net.Conn, _ *http.Request) bool {
-		io.WriteString(c, "HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
-		return true
-	}
+	reject := respondWith(notRunResponse)
 	s := startSidecar(t, testConfig(t, startServer(t, reject).Addr().String()))
 	c := dial(t, s)
 	c.send("POST", "pay", "1")
--- a/internal/sidecar/upstream_test.go
+++ b/internal/sidecar/upstream_test.go
@@ -426,10 +426,7 @@
 
 // The idle connections to a server must be closed when it drains, leaves, moves or restarts.
 func TestServerChangeClosesIdleConnections(t *testing.T) {
-	ln := startServer(t, func(_ int, c net.Conn, _ *http.Request) bool {
-		io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
-		return true
-	})
+	ln := startServer(t, respondWith("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"))
 	addr := ln.Addr().String()
 	for name, change := range map[string]func(u *upstream){
 		"draining":  func(u *upstream) { u.updateServer(1, addr, 0, forkline.Draining) },
@@ -451,10 +448,7 @@
 
 // An idle connection must be closed well before the endpoint's idle timeout, even if no further request is sent.
 func TestIdleConnectionsTimeOut(t *testing.T) {
-	ln := startServer(t, func(_ int, c net.Conn, _ *http.Request) bool {
-		io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
-		return true
-	})
+	ln := startServer(t, respondWith("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"))
 	u := newTestUpstream(ln.Addr().String(), 4)
 	u.idleTimeout = 20 * time.Millisecond
 	doAttempt(u, testTimeout)
--- a/internal/sidecar/watch_test.go
+++ b/internal/sidecar/watch_test.go
@@ -172,10 +172,7 @@
 // as after SIGHUP, is in that queue.
 func TestSetDiscoveryAddrWithFullQueue(t *testing.T) {
 	cfg := testConfig(t)
-	cfg.Discovery = startServer(t, func(_ int, c net.Conn, _ *http.Request) bool {
-		io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\n{\"rev\":8}\n")
-		return true
-	}).Addr().String()
+	cfg.Discovery = startServer(t, respondWith("HTTP/1.1 200 OK\r\n\r\n{\"rev\":8}\n")).Addr().String()
 	s, err := New(cfg)
 	if err != nil {
 		t.Fatal(err)
