Keep the listener of the tests' silent discovery from being collected

Cause: silentAddr (helpers_test.go) kept the address and dropped the listener. The garbage collector closed it, and its port went to a later listener, to which sidecars of other tests then made their calls. Any test that counts requests could fail by it.

Change: the listener is kept in a variable.

--- a/internal/sidecar/helpers_test.go
+++ b/internal/sidecar/helpers_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"sync"
 	"testing"
 	"time"
@@ -49,16 +50,19 @@
 	return cfg
 }
 
-// silentAddr returns the address of a discovery that never answers. Its listener stays open until the program ends, because
-// a sidecar may call discovery for a while after its test and must not reach a listener of another test.
-var silentAddr = sync.OnceValue(func() string {
+// silentListener returns the listener of a discovery that never answers. It stays open until the program ends, because a
+// sidecar may call discovery for a while after its test and must not reach a listener of another test.
+var silentListener = sync.OnceValue(func() net.Listener {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		panic(err)
 	}
-	return ln.Addr().String()
+	return ln
 })
 
+// silentAddr returns the address of a discovery that never answers.
+func silentAddr() string { return silentListener().Addr().String() }
+
 // startSidecar runs a sidecar until the test ends. It uses the initial list at once.
 func startSidecar(t *testing.T, cfg Config) *Sidecar {
 	t.Helper()
@@ -240,3 +244,17 @@
 		}
 	}
 }
+
+// Guards against tests that get the calls of other tests' sidecars: a listener that nothing refers to is closed by the garbage
+// collector, and its port is given to another one.
+func TestSilentListenerStaysOpen(t *testing.T) {
+	addr := silentAddr()
+	for range 3 { // the first collection finds a listener without references, a later one has run its finalizer
+		runtime.GC()
+		runtime.Gosched()
+	}
+	if ln, err := net.Listen("tcp", addr); err == nil {
+		ln.Close()
+		t.Error("the address of the silent discovery is free")
+	}
+}
