--- a/internal/sidecar/disconnect_test.go
+++ b/internal/sidecar/disconnect_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"bytes"
-	"context"
 	"fmt"
 	"io"
 	"net"
@@ -64,19 +63,13 @@
 // and a function that connects a client, whose requests have the given ID.
 func startTracked(t *testing.T, cfg Config, configure func(*Sidecar)) (*Sidecar, func(id string) trackedClient) {
 	t.Helper()
-	s, err := New(cfg)
-	if err != nil {
-		t.Fatal(err)
-	}
-	s.cachedListDelay = 0
-	if configure != nil {
-		configure(s)
-	}
 	serverConns := make(chan *net.TCPConn, 100)
-	withConnWrapper(func(c *net.TCPConn) net.Conn { serverConns <- c; return c })(s)
-	ctx, cancel := context.WithCancel(context.Background())
-	go s.Run(ctx)
-	t.Cleanup(func() { s.discovery.move(silentAddr()); s.front.drainAcceptTime = 0; cancel() })
+	s := startConfiguredSidecar(t, cfg, func(s *Sidecar) {
+		if configure != nil {
+			configure(s)
+		}
+		withConnWrapper(func(c *net.TCPConn) net.Conn { serverConns <- c; return c })(s)
+	})
 	eventually(t, "the list", func() (applied bool) {
 		s.loop.postAndWait(func() { applied = len(s.loop.serverReady) > 0 })
 		return applied
--- a/internal/sidecar/downstream_test.go
+++ b/internal/sidecar/downstream_test.go
@@ -1,7 +1,6 @@
 package sidecar
 
 import (
-	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -14,15 +13,9 @@
 func TestIdleClientsAreEvicted(t *testing.T) {
 	cfg := testConfig(t, startServer(t, echo).Addr().String())
 	cfg.Sockets = MinSockets
-	s, err := New(cfg)
-	if err != nil {
-		t.Fatal(err)
-	}
-	s.cachedListDelay = 0
-	s.front.requestTimeout = time.Hour // the timeout alone would close them too late
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	go s.Run(ctx)
+	s := startConfiguredSidecar(t, cfg, func(s *Sidecar) {
+		s.front.requestTimeout = time.Hour // the timeout alone would close them too late
+	})
 	for range 2 * s.maxDownstream {
 		dial(t, s)
 	}
--- a/internal/sidecar/helpers_test.go
+++ b/internal/sidecar/helpers_test.go
@@ -65,12 +65,21 @@
 
 // startSidecar runs a sidecar until the test ends. It uses the initial list at once.
 func startSidecar(t *testing.T, cfg Config) *Sidecar {
+	t.Helper()
+	return startConfiguredSidecar(t, cfg, nil)
+}
+
+// startConfiguredSidecar runs a sidecar as startSidecar does. If configure is not nil, it is called before the sidecar runs.
+func startConfiguredSidecar(t *testing.T, cfg Config, configure func(*Sidecar)) *Sidecar {
 	t.Helper()
 	s, err := New(cfg)
 	if err != nil {
 		t.Fatal(err)
 	}
 	s.cachedListDelay = 0
+	if configure != nil {
+		configure(s)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	go s.Run(ctx)
 	t.Cleanup(func() { s.discovery.move(silentAddr()); s.front.drainAcceptTime = 0; cancel() })
@@ -102,19 +111,11 @@
 func startWithRecordingServer(t *testing.T, configure func(*Sidecar)) (*Sidecar, chan string) {
 	t.Helper()
 	received := make(chan string, 1000)
-	s, err := New(longTimeoutConfig(t, startServer(t, func(n int, c net.Conn, r *http.Request) bool {
+	ln := startServer(t, func(n int, c net.Conn, r *http.Request) bool {
 		received <- r.Header.Get("X-Request-Id")
 		return echo(n, c, r)
-	}).Addr().String()))
-	if err != nil {
-		t.Fatal(err)
-	}
-	s.cachedListDelay = 0
-	if configure != nil {
-		configure(s)
-	}
-	go s.Run(t.Context())
-	return s, received
+	})
+	return startConfiguredSidecar(t, longTimeoutConfig(t, ln.Addr().String()), configure), received
 }
 
 // dial opens a client connection to the sidecar.
@@ -187,36 +188,43 @@
 	return ln
 }
 
+// acceptConns calls handle for each connection to a listener until that is closed, with the number of the connection, which
+// counts from 0. The next connection is accepted once handle has returned.
+func acceptConns(ln net.Listener, handle func(n int, c net.Conn)) {
+	for n := 0; ; n++ {
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		handle(n, c)
+	}
+}
+
 // startServer starts an HTTP server on loopback that passes each request to handle, with the number of its connection,
 // which counts from 0. It closes the connection when handle returns false.
 func startServer(t *testing.T, handle func(n int, c net.Conn, req *http.Request) (more bool)) net.Listener {
 	t.Helper()
 	ln := listenLoopback(t)
-	go func() {
-		for n := 0; ; n++ {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				r := bufio.NewReader(c)
-				for {
-					req, err := http.ReadRequest(r)
-					if err != nil {
-						return
-					}
-					io.Copy(io.Discard, req.Body)
-					if !handle(n, c, req) {
-						return
-					}
-				}
-			}()
-		}
-	}()
+	go acceptConns(ln, func(n int, c net.Conn) { go serveRequests(n, c, handle) })
 	return ln
 }
 
+// serveRequests passes the requests of one connection to handle until that returns false or the connection ends.
+func serveRequests(n int, c net.Conn, handle func(n int, c net.Conn, req *http.Request) (more bool)) {
+	defer c.Close()
+	r := bufio.NewReader(c)
+	for {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		io.Copy(io.Discard, req.Body)
+		if !handle(n, c, req) {
+			return
+		}
+	}
+}
+
 // notRunResponse is a response that marks its request as not run.
 const notRunResponse = "HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
 
--- a/internal/sidecar/outcome_test.go
+++ b/internal/sidecar/outcome_test.go
@@ -265,28 +265,22 @@
 // sent is a duplicate of an earlier one. The request cannot have run, so it must be sent on another connection.
 func TestDuplicateResponseDuringUnsafeRequest(t *testing.T) {
 	ln := listenLoopback(t)
-	go func() {
-		for n := 0; ; n++ {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			t.Cleanup(func() { c.Close() })
-			r := bufio.NewReader(c)
-			text := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n%d", n)
-			if n > 0 {
-				io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n") // ends the check for a broken connection
-			}
-			if _, err := http.ReadRequest(r); err != nil {
-				t.Error(err)
-			}
+	go acceptConns(ln, func(n int, c net.Conn) {
+		t.Cleanup(func() { c.Close() })
+		r := bufio.NewReader(c)
+		text := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n%d", n)
+		if n > 0 {
+			io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n") // ends the check for a broken connection
+		}
+		if _, err := http.ReadRequest(r); err != nil {
+			t.Error(err)
+		}
+		io.WriteString(c, text)
+		if n == 0 {
+			r.Peek(1)
 			io.WriteString(c, text)
-			if n == 0 {
-				r.Peek(1)
-				io.WriteString(c, text)
-			}
 		}
-	}()
+	})
 	u := newTestUpstream(ln.Addr().String(), 4)
 	if got, _ := doAttempt(u, testTimeout); got != forkline.OK {
 		t.Fatalf("outcome %v", got)
--- a/internal/sidecar/upstream_test.go
+++ b/internal/sidecar/upstream_test.go
@@ -139,33 +139,27 @@
 func TestBreakBeforeTheLastByte(t *testing.T) {
 	served := make(chan string, 10)
 	ln := listenLoopback(t)
-	go func() {
-		for n := 0; ; n++ {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			if n == 2 { // breaks during the first bytes
-				c.Read(make([]byte, 1))
-				c.(*net.TCPConn).SetLinger(0)
-				c.Close()
-				continue
-			}
-			io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n") // ends the wait for a break
-			req, err := http.ReadRequest(bufio.NewReader(c))
-			if err != nil {
-				t.Error(err)
-				return
-			}
-			served <- fmt.Sprint(n, req.Header.Get("X-Request-Id"))
-			io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
-			if n == 0 {
-				c.Read(make([]byte, 1))
-				c.(*net.TCPConn).SetLinger(0)
-			}
+	go acceptConns(ln, func(n int, c net.Conn) {
+		if n == 2 { // breaks during the first bytes
+			c.Read(make([]byte, 1))
+			c.(*net.TCPConn).SetLinger(0)
 			c.Close()
+			return
 		}
-	}()
+		io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n") // ends the wait for a break
+		req, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		served <- fmt.Sprint(n, req.Header.Get("X-Request-Id"))
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		if n == 0 {
+			c.Read(make([]byte, 1))
+			c.(*net.TCPConn).SetLinger(0)
+		}
+		c.Close()
+	})
 	u := newTestUpstream(ln.Addr().String(), 4)
 	u.breakCheckTime = testTimeout
 	for i, want := range []forkline.Outcome{forkline.OK, forkline.OK, forkline.ConnectFailed} {
