--- a/ramp_test.go
+++ b/ramp_test.go
@@ -6,6 +6,8 @@
 	"math/rand/v2"
 	"slices"
 	"testing"
+
+	"forkline/internal/stats"
 )
 
 // event is something that happens to a fleet at an instant of virtual time.
@@ -386,3 +388,54 @@
 		t.Errorf("credit %v for a burst of demand, want 1.4", credit)
 	}
 }
+
+// A restarted server must not get its old load, nor a burst from all copies at once.
+func TestColdServerIsNotOverloaded(t *testing.T) {
+	coldSends, sends := 0, 0
+	for seed := range uint64(40) {
+		settings := testSettings()
+		settings.Copies = 40
+		b, _ := New(settings, seed, 0)
+		entries := readyServers(3)
+		entries[2].Started = 999
+		b.Handle(1000, &Event{Kind: EvList, List: ListCached, Servers: entries}, nil)
+		for i := range 20 {
+			now := 1000 + 50*float64(i)
+			for _, a := range b.Handle(now, &Event{Kind: EvRequest, Request: uint32(i), Deadline: now + 900}, nil) {
+				if a.Kind != ActSend {
+					continue
+				}
+				sends++
+				if a.Server == 102 {
+					coldSends++
+				}
+				b.Handle(now+10, &Event{Kind: EvOutcome, Request: a.Request, Server: a.Server, Elapsed: 10, RequestDone: true}, nil)
+			}
+		}
+	}
+	// An even share would be 0.33 of the sends; the cold server may get a fifth of that.
+	if share := float64(coldSends) / float64(sends); share > 0.2*0.33*1.5 {
+		t.Errorf("the cold server got %.3f of %d sends", share, sends)
+	}
+}
+
+// The load that a copy may send to a cold server rises with the server's age from the initial capacity, and
+// is a part of an even share of the copy's own arrivals: all copies together stay below one server's share.
+func TestColdShareIsBounded(t *testing.T) {
+	entries := readyServers(10)
+	entries[9].Started = 1000
+	h := newHarness(t, testSettings(), entries...)
+	s := h.b.servers[entries[9].Server]
+	h.b.arrivals = stats.Rate{PerSecond: 100, UpdatedAt: h.now}
+	h.b.numMeasured, h.b.meanLoad = 1, 1e6
+	for _, age := range []float64{0, 5000, 19999} {
+		h.b.now = 1000 + age
+		warmth := 0.2 + 0.8*age/20000
+		if got, bound := h.b.loadFor(s), coldShare*10*warmth; got > bound+1e-9 || got < bound/2 {
+			t.Errorf("age %v: load %v, want %v", age, got, bound)
+		}
+	}
+	if h.b.now = 21001; h.b.loadFor(s) < 1e5 {
+		t.Error("load still bounded when warm")
+	}
+}
--- a/reconfigure_test.go
+++ b/reconfigure_test.go
@@ -11,22 +11,6 @@
 	"forkline/internal/stats"
 )
 
-// reconfigure applies an edit to the settings and returns the actions, without timers and logs.
-func (h *harness) reconfigure(edit func(*Settings)) []Action {
-	h.t.Helper()
-	settings := h.b.cfg
-	if !h.b.budgetConfigured { // the balancer has filled in its defaults
-		settings.Safety.RetryBudgetMin, settings.Safety.RetryBudgetRatio, settings.Safety.RetryBudgetWindow = 0, 0, 0
-	}
-	settings.Classes, settings.Tenants = slices.Clone(settings.Classes), slices.Clone(settings.Tenants)
-	edit(&settings)
-	actions, err := h.b.Reconfigure(h.now, settings, nil)
-	if err != nil {
-		h.t.Fatal(err)
-	}
-	return slices.DeleteFunc(actions, func(a Action) bool { return a.Kind == ActTimer || a.Kind == ActLog })
-}
-
 // newBusyHarness returns a copy that has learned a little and has open requests of each class.
 func newBusyHarness(t *testing.T) *harness {
 	t.Helper()
