--- a/internal/sidecar/outcome.go
+++ b/internal/sidecar/outcome.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"fmt"
 	"net/http"
 	"os"
 	"slices"
@@ -42,22 +41,6 @@
 	return forkline.Error, nil, reusable
 }
 
-// responseError reports a response that the protocol does not define. Its request may have run.
-type responseError struct {
-	status int   // 0 if the response cannot be read
-	cause  error // why it cannot be read
-}
-
-func (e *responseError) Error() string {
-	problem := fmt.Sprintf("status %d is not defined for endpoints", e.status)
-	if e.cause != nil {
-		problem = fmt.Sprintf("the response is malformed: %v", e.cause)
-	}
-	return problem + "; the request may have run and counts as failed: correct the endpoint or remove it from discovery"
-}
-
-func (e *responseError) Unwrap() error { return e.cause }
-
 // marksNotRun reports whether a response marks its request as not run. One that repeats the header is ambiguous.
 func marksNotRun(status int, header http.Header) bool {
 	return (status == http.StatusServiceUnavailable || status == http.StatusGatewayTimeout) &&
