--- a/internal/sidecar/effects_test.go
+++ b/internal/sidecar/effects_test.go
@@ -20,9 +20,10 @@
 	response string // "%s" stands for the ID of the request
 	notRun   bool   // the request does not run, and the response proves it
 	closes   bool   // the connection is closed after the response
+	resets   bool   // closing it resets it
 }
 
-// endpointBehaviors lists every way to answer that has proved nothing, too much, or the wrong thing to some reader.
+// endpointBehaviors lists ways to answer, among them those that could be mistaken for a refusal or for a proof.
 var endpointBehaviors = []endpointBehavior{
 	{name: "served", response: "HTTP/1.1 200 OK\r\nContent-Length: 17\r\n\r\n%s"},
 	{name: "served in chunks", response: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n11\r\n%s\r\n0\r\n\r\n"},
@@ -45,6 +46,7 @@
 	{name: "no length", response: "HTTP/1.1 200 OK\r\n\r\n%s", closes: true},
 	{name: "cut off in the head", response: "HTTP/1.1 503 U\r\nX-Not-Run: 1\r\n", closes: true},
 	{name: "closed", closes: true},
+	{name: "reset", closes: true, resets: true},
 }
 
 // effectsRecorder records what endpoints have run, by order. All tries of a client for one order share its name.
@@ -52,11 +54,21 @@
 	mu    sync.Mutex
 	runs  map[string]int
 	cells map[string]map[uint16]bool
+	// behaviors holds the names of what endpoints did with each order, in sequence.
+	behaviors map[string][]string
 }
 
-func (r *effectsRecorder) add(order string, cell uint16) {
+func newEffectsRecorder() *effectsRecorder {
+	return &effectsRecorder{runs: map[string]int{}, cells: map[string]map[uint16]bool{}, behaviors: map[string][]string{}}
+}
+
+func (r *effectsRecorder) add(order string, cell uint16, behavior *endpointBehavior) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.behaviors[order] = append(r.behaviors[order], behavior.name)
+	if behavior.notRun {
+		return
+	}
 	r.runs[order]++
 	if r.cells[order] == nil {
 		r.cells[order] = map[uint16]bool{}
@@ -74,22 +86,23 @@
 func orderOf(id string) string { return id[:strings.LastIndex(id, "-")] }
 
 // startEndpoint starts an endpoint of a cell. What it does with a request follows from the seed, the request's ID and its
-// number of runs so far, so it does not depend on timing.
+// number of attempts so far, so it does not depend on timing.
 func (r *effectsRecorder) startEndpoint(t *testing.T, seed uint64, cell uint16) net.Listener {
 	return startServer(t, func(_ int, c net.Conn, req *http.Request) bool {
 		id := req.Header.Get("X-Request-Id")
 		sum := fnv.New64a()
 		io.WriteString(sum, id)
 		r.mu.Lock()
-		fmt.Fprint(sum, r.runs[orderOf(id)])
+		fmt.Fprint(sum, len(r.behaviors[orderOf(id)]))
 		r.mu.Unlock()
 		random := rand.New(rand.NewPCG(seed, sum.Sum64()))
-		behavior := endpointBehaviors[0]
+		behavior := &endpointBehaviors[0]
 		if random.Float64() < 0.6 {
-			behavior = endpointBehaviors[random.IntN(len(endpointBehaviors))]
+			behavior = &endpointBehaviors[random.IntN(len(endpointBehaviors))]
 		}
-		if !behavior.notRun {
-			r.add(orderOf(id), cell)
+		r.add(orderOf(id), cell, behavior)
+		if behavior.resets {
+			c.(*net.TCPConn).SetLinger(0)
 		}
 		io.WriteString(c, strings.ReplaceAll(behavior.response, "%s", id))
 		return !behavior.closes
@@ -164,7 +177,7 @@
 	classes := []string{"read", "pay", "add"}
 	for _, seed := range []uint64{1, 2, 3} {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			recorder := &effectsRecorder{runs: map[string]int{}, cells: map[string]map[uint16]bool{}}
+			recorder := newEffectsRecorder()
 			cfg := longTimeoutConfig(t)
 			for i := range endpoints {
 				cell := uint16(i % cells)
@@ -197,10 +210,10 @@
 	defer r.mu.Unlock()
 	for order, runs := range r.runs {
 		if strings.HasPrefix(order, "pay") && runs > 1 {
-			t.Errorf("%s ran %d times", order, runs)
+			t.Errorf("%s ran %d times; endpoints: %q", order, runs, r.behaviors[order])
 		}
 		if strings.HasPrefix(order, "add") && len(r.cells[order]) > 1 {
-			t.Errorf("%s ran in cells %v", order, r.cells[order])
+			t.Errorf("%s ran in cells %v; endpoints: %q", order, r.cells[order], r.behaviors[order])
 		}
 	}
 }
