Log no response just because it states no length

HTTP allows such responses; that they count as resets is the sidecar's choice (docs/open.md).

Cause: readFinalResponse gave one error for a length that is missing and one that is invalid. The first is errNoLength now, and is not logged. Outcomes are the same.

--- a/internal/sidecar/message.go
+++ b/internal/sidecar/message.go
@@ -29,6 +29,7 @@
 	errMalformedHead = errors.New("the head cannot be read")
 	errInvalidLength = errors.New("the length cannot be read")
 	errTooLarge      = errors.New("the message is over the limit")
+	errNoLength      = errors.New("the response states no length")
 )
 
 // isMalformed reports whether a message could not be read because of its content, and not because its connection ended
@@ -168,7 +169,7 @@
 		case status == http.StatusNoContent || status == http.StatusNotModified:
 			return status, m, nil, nil
 		case m.length == lengthUnspecified:
-			return 0, m, nil, errInvalidLength
+			return 0, m, nil, errNoLength
 		}
 		body, err = readBody(r, m.length)
 		return status, m, body, err
--- a/internal/sidecar/outcome.go
+++ b/internal/sidecar/outcome.go
@@ -18,7 +18,7 @@
 	// A request whose response cannot be read completely may have run, whatever its status line says.
 	status, m, body, err := readFinalResponse(c.reader)
 	if err != nil {
-		if isMalformed(err) {
+		if isMalformed(err) && err != errNoLength { // HTTP allows a response without a length
 			a.responseErr = &responseError{cause: err}
 		}
 		return errorOutcome(a, err, forkline.Reset), nil, false
