Call an endpoint an endpoint where an attempt starts

The glossary has "target" as discovery's word. The compiler orders what a goroutine captures by name, so the program differs in the code of loop.send, not in what it does.

--- a/internal/sidecar/call.go
+++ b/internal/sidecar/call.go
@@ -128,17 +128,17 @@
 	sentAt := time.Now()
 	number := len(c.attempts)
 	a := l.newAttempt(c, action, sentAt)
-	target := l.upstream.find(action.Server)
+	endpoint := l.upstream.find(action.Server)
 	outgoing := c.outgoing
 	outgoing.safe = c.safe
-	server := action.Server
+	server := action.Server // the action is overwritten before the attempt ends
 	attemptDeadline := l.timeAt(action.Deadline)
 	c.attempts = append(c.attempts, a)
 	c.openAttempts++
 	go func() {
 		outcome, final := forkline.NotSent, (*response)(nil)
-		if target != nil {
-			outcome, final = l.upstream.do(a, target, &outgoing, attemptDeadline)
+		if endpoint != nil {
+			outcome, final = l.upstream.do(a, endpoint, &outgoing, attemptDeadline)
 		}
 		endedAt := time.Now()
 		l.post(func() {
@@ -146,7 +146,7 @@
 			l.attemptEnded(c, number, server, outcome, final, endedAt.Sub(sentAt))
 		})
 		if a.responseErr != nil { // after the outcome is posted, as writing the log may block
-			l.responseLog.report(target.addr, c.id, a.responseErr)
+			l.responseLog.report(endpoint.addr, c.id, a.responseErr)
 		}
 	}()
 }
