Build test sidecars and delayed requests in one place each

The recorder of effects decides and records under one lock, and its check stands beside it. Checks and bounds are the same.

--- a/internal/sidecar/disconnect_test.go
+++ b/internal/sidecar/disconnect_test.go
@@ -497,20 +497,7 @@
 // A request that arrives in time must be served even if the sidecar gets no core to read it until after the request
 // timeout of its connection.
 func TestRequestAtRequestTimeoutIsServed(t *testing.T) {
-	reading, resume := make(chan struct{}, 1), make(chan struct{})
-	s := startWithoutDrain(t, echo, func(s *Sidecar) {
-		s.front.requestTimeout = time.Nanosecond
-		withConnWrapper(func(c *net.TCPConn) net.Conn { return delayedReadConn{c, false, reading, resume} })(s)
-	})
-	c := dial(t, s)
-	c.send("GET", "read", "")
-	<-reading
-	eventually(t, "the request", func() bool {
-		s.front.downstream.mu.Lock()
-		defer s.front.downstream.mu.Unlock()
-		e := s.front.downstream.idle.Front()
-		return e != nil && e.Value.(*downstreamConn).hasUnread()
-	})
+	_, c, resume := sendDelayedRequest(t, time.Nanosecond, false)
 	close(resume)
 	if res, _ := c.readResponse(t); res.StatusCode != 200 {
 		t.Errorf("status %d", res.StatusCode)
--- a/internal/sidecar/downstream_test.go
+++ b/internal/sidecar/downstream_test.go
@@ -98,6 +98,27 @@
 	return n, err
 }
 
+// sendDelayedRequest sends a request to a sidecar that gets no core to read it, or to process it once it has been read, until
+// resume is closed. It returns when the sidecar has received the request.
+func sendDelayedRequest(t *testing.T, requestTimeout time.Duration, afterRead bool) (s *Sidecar, c *client, resume chan struct{}) {
+	t.Helper()
+	reading, resume := make(chan struct{}, 1), make(chan struct{})
+	s = startWithoutDrain(t, echo, func(s *Sidecar) {
+		s.front.requestTimeout = requestTimeout
+		withConnWrapper(func(c *net.TCPConn) net.Conn { return delayedReadConn{c, afterRead, reading, resume} })(s)
+	})
+	c = dial(t, s)
+	c.send("GET", "read", "")
+	<-reading
+	eventually(t, "the request", func() bool {
+		s.front.downstream.mu.Lock()
+		defer s.front.downstream.mu.Unlock()
+		e := s.front.downstream.idle.Front()
+		return e != nil && (afterRead || e.Value.(*downstreamConn).hasUnread())
+	})
+	return s, c, resume
+}
+
 // A request that has been received but not read yet must not be dropped by closing its connection, neither in a drain
 // nor by an eviction near the connection limit.
 func TestUnreadRequestIsNotDropped(t *testing.T) {
@@ -120,20 +141,7 @@
 			if !afterRead {
 				requestTimeout = time.Nanosecond // has expired as well
 			}
-			reading, resume := make(chan struct{}, 1), make(chan struct{})
-			s := startWithoutDrain(t, echo, func(s *Sidecar) {
-				s.front.requestTimeout = requestTimeout
-				withConnWrapper(func(c *net.TCPConn) net.Conn { return delayedReadConn{c, afterRead, reading, resume} })(s)
-			})
-			c := dial(t, s)
-			c.send("GET", "read", "")
-			<-reading
-			eventually(t, "the request", func() bool {
-				s.front.downstream.mu.Lock()
-				defer s.front.downstream.mu.Unlock()
-				e := s.front.downstream.idle.Front()
-				return e != nil && (afterRead || e.Value.(*downstreamConn).hasUnread())
-			})
+			s, c, resume := sendDelayedRequest(t, requestTimeout, afterRead)
 			closeIdle(s.front.downstream)
 			close(resume)
 			if res, _ := c.readResponse(t); res.StatusCode != 200 {
--- a/internal/sidecar/drain_test.go
+++ b/internal/sidecar/drain_test.go
@@ -38,11 +38,7 @@
 		return echo(n, c, r)
 	}).Addr().String())
 	cfg.Site.Settings.Classes[0].Timeout = 5000 // the held call must not time out
-	s, err := New(cfg)
-	if err != nil {
-		t.Fatal(err)
-	}
-	s.cachedListDelay = 0
+	s := newSidecar(t, cfg, nil)
 	s.front.drainAcceptTime = 2 * time.Second // allows for a busy machine
 	ctx, cancel := context.WithCancel(context.Background())
 	runErr := make(chan error)
@@ -78,11 +74,7 @@
 	defer close(release)
 	cfg := testConfig(t, startServer(t, func(int, net.Conn, *http.Request) bool { close(received); <-release; return false }).Addr().String())
 	cfg.Site.Settings.Classes[1].Timeout = 60000 // the call itself does not time out
-	s, err := New(cfg)
-	if err != nil {
-		t.Fatal(err)
-	}
-	s.cachedListDelay = 0
+	s := newSidecar(t, cfg, nil)
 	go s.loop.run()
 	s.loop.post(func() { s.loop.updateList(cfg.InitialList, forkline.ListCached) })
 	go s.front.serve(s.listener)
--- a/internal/sidecar/effects_test.go
+++ b/internal/sidecar/effects_test.go
@@ -62,18 +62,30 @@
 	return &effectsRecorder{runs: map[string]int{}, cells: map[string]map[uint16]bool{}, behaviors: map[string][]string{}}
 }
 
-func (r *effectsRecorder) add(order string, cell uint16, behavior *endpointBehavior) {
+// handle decides what an endpoint of a cell does with a request, and records it. The decision follows from the seed, the
+// request's ID and the number of attempts of its order so far, so it does not depend on timing.
+func (r *effectsRecorder) handle(id string, cell uint16, seed uint64) *endpointBehavior {
+	const faultyShare = 0.6
+	order := orderOf(id)
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	sum := fnv.New64a()
+	fmt.Fprint(sum, id, len(r.behaviors[order]))
+	random := rand.New(rand.NewPCG(seed, sum.Sum64()))
+	behavior := &endpointBehaviors[0]
+	if random.Float64() < faultyShare {
+		behavior = &endpointBehaviors[random.IntN(len(endpointBehaviors))]
+	}
 	r.behaviors[order] = append(r.behaviors[order], behavior.name)
 	if behavior.notRun {
-		return
+		return behavior
 	}
 	r.runs[order]++
 	if r.cells[order] == nil {
 		r.cells[order] = map[uint16]bool{}
 	}
 	r.cells[order][cell] = true
+	return behavior
 }
 
 func (r *effectsRecorder) hasRun(order string) bool {
@@ -82,25 +94,28 @@
 	return r.runs[order] > 0
 }
 
+// check reports orders whose effects were repeated.
+func (r *effectsRecorder) check(t *testing.T) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for order, runs := range r.runs {
+		if strings.HasPrefix(order, "pay") && runs > 1 {
+			t.Errorf("%s ran %d times; endpoints: %q", order, runs, r.behaviors[order])
+		}
+		if strings.HasPrefix(order, "add") && len(r.cells[order]) > 1 {
+			t.Errorf("%s ran in cells %v; endpoints: %q", order, r.cells[order], r.behaviors[order])
+		}
+	}
+}
+
 // orderOf returns the name of the order from the ID of one of its tries.
 func orderOf(id string) string { return id[:strings.LastIndex(id, "-")] }
 
-// startEndpoint starts an endpoint of a cell. What it does with a request follows from the seed, the request's ID and its
-// number of attempts so far, so it does not depend on timing.
+// startEndpoint starts an endpoint of a cell.
 func (r *effectsRecorder) startEndpoint(t *testing.T, seed uint64, cell uint16) net.Listener {
 	return startServer(t, func(_ int, c net.Conn, req *http.Request) bool {
 		id := req.Header.Get("X-Request-Id")
-		sum := fnv.New64a()
-		io.WriteString(sum, id)
-		r.mu.Lock()
-		fmt.Fprint(sum, len(r.behaviors[orderOf(id)]))
-		r.mu.Unlock()
-		random := rand.New(rand.NewPCG(seed, sum.Sum64()))
-		behavior := &endpointBehaviors[0]
-		if random.Float64() < 0.6 {
-			behavior = &endpointBehaviors[random.IntN(len(endpointBehaviors))]
-		}
-		r.add(orderOf(id), cell, behavior)
+		behavior := r.handle(id, cell, seed)
 		if behavior.resets {
 			c.(*net.TCPConn).SetLinger(0)
 		}
@@ -203,17 +218,3 @@
 		})
 	}
 }
-
-// check reports orders whose effects were repeated.
-func (r *effectsRecorder) check(t *testing.T) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for order, runs := range r.runs {
-		if strings.HasPrefix(order, "pay") && runs > 1 {
-			t.Errorf("%s ran %d times; endpoints: %q", order, runs, r.behaviors[order])
-		}
-		if strings.HasPrefix(order, "add") && len(r.cells[order]) > 1 {
-			t.Errorf("%s ran in cells %v; endpoints: %q", order, r.cells[order], r.behaviors[order])
-		}
-	}
-}
--- a/internal/sidecar/helpers_test.go
+++ b/internal/sidecar/helpers_test.go
@@ -69,8 +69,9 @@
 	return startConfiguredSidecar(t, cfg, nil)
 }
 
-// startConfiguredSidecar runs a sidecar as startSidecar does. If configure is not nil, it is called before the sidecar runs.
-func startConfiguredSidecar(t *testing.T, cfg Config, configure func(*Sidecar)) *Sidecar {
+// newSidecar returns a sidecar that uses the initial list at once and does not run yet. If configure is not nil, it is called
+// with the sidecar.
+func newSidecar(t *testing.T, cfg Config, configure func(*Sidecar)) *Sidecar {
 	t.Helper()
 	s, err := New(cfg)
 	if err != nil {
@@ -80,6 +81,13 @@
 	if configure != nil {
 		configure(s)
 	}
+	return s
+}
+
+// startConfiguredSidecar runs a sidecar as startSidecar does. If configure is not nil, it is called before the sidecar runs.
+func startConfiguredSidecar(t *testing.T, cfg Config, configure func(*Sidecar)) *Sidecar {
+	t.Helper()
+	s := newSidecar(t, cfg, configure)
 	ctx, cancel := context.WithCancel(context.Background())
 	go s.Run(ctx)
 	t.Cleanup(func() { s.discovery.move(silentAddr()); s.front.drainAcceptTime = 0; cancel() })
@@ -91,14 +99,7 @@
 	t.Helper()
 	cfg := testConfig(t, startServer(t, respond).Addr().String())
 	cfg.Site.Settings.Classes[1].Timeout = 60000 // ms; long enough that no wait ends by it
-	s, err := New(cfg)
-	if err != nil {
-		t.Fatal(err)
-	}
-	s.cachedListDelay = 0
-	if configure != nil {
-		configure(s)
-	}
+	s := newSidecar(t, cfg, configure)
 	go s.loop.run()
 	t.Cleanup(func() { close(s.loop.done) })
 	s.loop.post(func() { s.loop.updateList(cfg.InitialList, forkline.ListCached) })
--- a/internal/sidecar/outcome_test.go
+++ b/internal/sidecar/outcome_test.go
@@ -26,8 +26,7 @@
 		io.WriteString(conn, answer)
 		return true
 	}
-	cfg := testConfig(t, startServer(t, run).Addr().String(), startServer(t, run).Addr().String())
-	cfg.Site.Settings.Limits.ConnectTimeout = float64(testTimeout.Milliseconds())
+	cfg := longTimeoutConfig(t, startServer(t, run).Addr().String(), startServer(t, run).Addr().String())
 	return dial(t, startSidecar(t, cfg)), runs
 }
 
--- a/internal/sidecar/reload_test.go
+++ b/internal/sidecar/reload_test.go
@@ -360,11 +360,7 @@
 func TestReloadDuringDrain(t *testing.T) {
 	server := newGatedServer(t)
 	cfg := longTimeoutConfig(t, server.addr)
-	s, err := New(cfg)
-	if err != nil {
-		t.Fatal(err)
-	}
-	s.cachedListDelay = 0
+	s := newSidecar(t, cfg, nil)
 	s.front.drainAcceptTime = 2 * time.Second // long enough on a busy machine
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan error)
