Log why connections are closed and requests refused, failed, retried or dropped

Each close, rejection, refusal, failure, retry and drop is now counted by its reason, and a summary of the counts, with the ID of one request for each and with the numbers of connections and the runtime's memory, is logged once a second at most. The begin and the end of a drain are logged too. serveConn, whose end has to return its reason, is split into steps of one job each; its behaviour is unchanged. One test that made a front without a loop gives it an empty one.

Seen: go test -race of internal/sidecar and cmd/forkline passes.

--- a/internal/sidecar/call.go
+++ b/internal/sidecar/call.go
@@ -39,13 +39,22 @@
 	mayHaveRun    bool // a finished attempt may have run
 	openAttempts  int  // number of attempts in flight
 	attempts      []*attempt
-	retry         *call // the same request sent again by a client that had disconnected
+	lastOutcome   forkline.Outcome // of the attempt that ended last
+	retry         *call            // the same request sent again by a client that had disconnected
 }
 
 // clientDisconnected reports whether the call's client has disconnected. It asks the connection directly, because the
 // notification waits in the loop's queue behind earlier events.
 func (c *call) clientDisconnected() bool { return c.clientGone != nil && c.clientGone() }
 
+// reasonToGiveUp returns why the balancer gives up a call. A call that is nil has ended.
+func (c *call) reasonToGiveUp() eventReason {
+	if c == nil || len(c.attempts) == 0 {
+		return reasonNoAttempt
+	}
+	return reasonAfter(c.lastOutcome)
+}
+
 // setDeadline sets the call's deadline from its arrival time.
 func (c *call) setDeadline(arrivedAt float64) { c.event.Deadline = arrivedAt + c.answerWithin }
 
@@ -55,9 +64,8 @@
 		l.handleDisconnect(c)
 		return
 	}
-	if rejection := l.checkAdmission(c); rejection != nil {
-		c.ended = true
-		c.respond(*rejection)
+	if rejection, reason := l.checkAdmission(c); rejection != nil {
+		l.respond(c, *rejection, reason)
 		return
 	}
 	if l.reloadedIndex != nil && c.index != l.reloadedIndex && !l.reapplySettings(c) {
@@ -77,6 +85,7 @@
 		l.armBackstop(c)
 		return
 	} else if previous != nil {
+		l.events.count(eventReject, reasonSameID, c.id)
 		c.respond(response{status: http.StatusConflict, body: []byte("a request with this X-Request-Id is open\n")})
 		return
 	}
@@ -88,18 +97,20 @@
 	l.handle(&c.event)
 }
 
-// checkAdmission returns the response to a call that cannot be accepted, or nil if it can. A call that is not safe to
-// repeat and may have run before under its ID gets a failure: a refusal would promise that nothing has run.
-func (l *loop) checkAdmission(c *call) *response {
+// checkAdmission returns the response to a call that cannot be accepted and the reason, or nil if it can be. A call that is not
+// safe to repeat and may have run before under its ID gets a failure: a refusal would promise that nothing has run.
+func (l *loop) checkAdmission(c *call) (*response, eventReason) {
 	l.endedIDs.expire(l.now())
-	if previous := l.callsByID[c.id]; !c.safe && (l.endedIDs.contains(c.id) ||
-		l.aborted && previous != nil && (previous.mayHaveRun || previous.openAttempts > 0)) {
-		return &response{status: statusFailed}
+	refusal := &response{status: statusRefused, retryAfter: l.retryAfter}
+	switch previous := l.callsByID[c.id]; {
+	case !c.safe && (l.endedIDs.contains(c.id) || l.aborted && previous != nil && (previous.mayHaveRun || previous.openAttempts > 0)):
+		return &response{status: statusFailed}, reasonRanBefore
+	case l.aborted:
+		return refusal, reasonAborted
+	case !c.safe && l.endedIDs.isFull(len(l.calls)):
+		return refusal, reasonIDsFull
 	}
-	if l.aborted || !c.safe && l.endedIDs.isFull(len(l.calls)) {
-		return &response{status: statusRefused, retryAfter: l.retryAfter}
-	}
-	return nil
+	return nil, ""
 }
 
 // armBackstop schedules the backstop of a call.
@@ -116,7 +127,7 @@
 	switch c := previous.retry; {
 	case c == nil || c.ended:
 	case previous.mayHaveRun && (!c.safe || !previous.safe && previous.class == c.class):
-		l.finish(c, response{status: statusFailed})
+		l.finish(c, response{status: statusFailed}, reasonRanBefore)
 	default:
 		c.mayHaveRun = false
 		l.accept(c)
@@ -133,6 +144,9 @@
 	outgoing.safe = c.safe
 	server := action.Server // the action is overwritten before the attempt ends
 	attemptDeadline := l.timeAt(action.Deadline)
+	if number > 0 {
+		l.events.count(eventRetry, reasonAfter(c.lastOutcome), c.id)
+	}
 	c.attempts = append(c.attempts, a)
 	c.openAttempts++
 	go func() {
@@ -182,9 +196,10 @@
 func (l *loop) attemptEnded(c *call, number int, server uint32, outcome forkline.Outcome, final *response, elapsed time.Duration) {
 	a := c.attempts[number]
 	c.openAttempts--
+	c.lastOutcome = outcome
 	c.mayHaveRun = c.mayHaveRun || outcome != forkline.Rejected && outcome != forkline.ConnectFailed && outcome != forkline.NotSent
 	if final != nil {
-		l.finish(c, *final)
+		l.finish(c, *final, reasonAfter(outcome))
 	} else if !c.ended && c.clientDisconnected() { // checked before the module decides on another attempt
 		l.handleDisconnect(c)
 	}
@@ -197,13 +212,24 @@
 }
 
 // finish sends the final response of a call, unless it has ended.
-func (l *loop) finish(c *call, r response) {
+func (l *loop) finish(c *call, r response, reason eventReason) {
 	if c == nil || c.ended {
 		return
 	}
+	l.respond(c, r, reason)
+	l.release(c)
+}
+
+// respond sends the final response of a call that has not ended.
+func (l *loop) respond(c *call, r response, reason eventReason) {
+	switch r.status {
+	case statusRefused:
+		l.events.count(eventRefuse, reason, c.id)
+	case statusFailed:
+		l.events.count(eventFail, reason, c.id)
+	}
 	c.ended = true
 	c.respond(r)
-	l.release(c)
 }
 
 // release forgets a call that has ended and has no open attempts. It also removes the backstop, which would otherwise
@@ -235,6 +261,7 @@
 		return
 	}
 	c.ended = true
+	l.events.count(eventDrop, reasonClientLeft, c.id)
 	l.handle(&forkline.Event{Kind: forkline.EvClientGone, Request: c.event.Request})
 	l.cancelAttempts(c)
 	l.release(c)
@@ -250,7 +277,7 @@
 
 // abort answers a call that the module has left unanswered, either at its backstop or at shutdown. It refuses the
 // call only if no attempt can have run.
-func (l *loop) abort(c *call) {
+func (l *loop) abort(c *call, reason eventReason) {
 	if c.ended {
 		return
 	}
@@ -259,7 +286,7 @@
 		r = response{status: statusRefused, retryAfter: l.retryAfter}
 	}
 	l.cancelAttempts(c)
-	l.finish(c, r)
+	l.finish(c, r, reason)
 	l.handle(&forkline.Event{Kind: forkline.EvClientGone, Request: c.event.Request})
 }
 
@@ -268,8 +295,8 @@
 	l.aborted = true
 	for _, c := range l.calls {
 		if c.retry != nil {
-			l.abort(c.retry)
+			l.abort(c.retry, reasonAborted)
 		}
-		l.abort(c)
+		l.abort(c, reasonAborted)
 	}
 }
--- a/internal/sidecar/downstream.go
+++ b/internal/sidecar/downstream.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"os"
@@ -49,6 +50,7 @@
 // listener's backlog, in order. If they were closed instead, the clients that reconnect fastest would get all slots.
 type downstream struct {
 	maxConns        int
+	events          *eventLog
 	slowRequestTime time.Duration // see defaultSlowRequestTime
 	acceptDone      chan struct{} // closed when no more connections are accepted
 	changed         chan struct{} // signaled when a connection has moved to another list or ended
@@ -59,16 +61,17 @@
 	receiving       *list.List // connections that are receiving a request, the earliest first
 }
 
-func newDownstream(maxConns int) *downstream {
+func newDownstream(maxConns int, events *eventLog) *downstream {
 	return &downstream{
-		maxConns: maxConns, slowRequestTime: defaultSlowRequestTime,
+		maxConns: maxConns, events: events, slowRequestTime: defaultSlowRequestTime,
 		acceptDone: make(chan struct{}), changed: make(chan struct{}, 1),
 		idle: list.New(), receiving: list.New(),
 	}
 }
 
-// serve accepts connections until the listener is closed. Each one is served by serveConn in its own goroutine.
-func (cs *downstream) serve(ln net.Listener, serveConn func(*downstreamConn)) error {
+// serve accepts connections until the listener is closed. Each one is served by serveConn in its own goroutine, which returns
+// why the connection ended.
+func (cs *downstream) serve(ln net.Listener, serveConn func(*downstreamConn) eventReason) error {
 	defer close(cs.acceptDone)
 	for {
 		conn, err := ln.Accept()
@@ -82,7 +85,7 @@
 		if c := cs.admit(conn); c != nil {
 			go func() {
 				defer cs.remove(c)
-				serveConn(c)
+				cs.events.count(eventClose, serveConn(c), "")
 			}()
 		}
 	}
@@ -107,6 +110,7 @@
 			continue
 		}
 		conn.Close()
+		cs.events.count(eventClose, reasonNoSlot, "")
 		return nil
 	}
 	c := &downstreamConn{Conn: conn, reader: bufio.NewReader(conn)}
@@ -178,9 +182,9 @@
 	cs.move(c, nil)
 }
 
-// awaitRequest waits for the first byte of a request and reports whether it arrived before the deadline and before a
-// requested close. Bytes that have arrived when the wait ends still count, however late this goroutine is scheduled.
-func (cs *downstream) awaitRequest(c *downstreamConn, deadline time.Time) bool {
+// awaitRequest waits for the first byte of a request. If none arrives before the deadline and before a requested close, it returns
+// why the connection ends. Bytes that have arrived when the wait ends still count, however late this goroutine is scheduled.
+func (cs *downstream) awaitRequest(c *downstreamConn, deadline time.Time) eventReason {
 	c.SetReadDeadline(deadline)
 	if cs.isCloseRequested(c) { // requested before the deadline was set
 		c.SetReadDeadline(time.Unix(1, 0))
@@ -190,7 +194,26 @@
 		c.SetReadDeadline(time.Time{}) // does not block, as there are unread bytes
 		_, err = c.reader.Peek(1)
 	}
-	return err == nil && cs.moveUnlessEvicted(c, cs.receiving)
+	if err != nil || !cs.moveUnlessEvicted(c, cs.receiving) {
+		return cs.endOfRead(c, err, reasonIdleTimeout)
+	}
+	return ""
+}
+
+// endOfRead returns why a connection ends after reading from it has failed with the given error. The last argument is the reason
+// if the connection's own deadline has passed.
+func (cs *downstream) endOfRead(c *downstreamConn, err error, timeout eventReason) eventReason {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	switch {
+	case c.evicted:
+		return reasonEvictedSlow
+	case c.closeRequested:
+		return reasonEvictedIdle
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return timeout
+	}
+	return reasonClientLeft
 }
 
 func (cs *downstream) isCloseRequested(c *downstreamConn) bool {
@@ -243,6 +266,16 @@
 	}
 }
 
+// state returns the counts of connections, for the log.
+func (cs *downstream) state() []slog.Attr {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	return []slog.Attr{
+		slog.Int("open", cs.openConns), slog.Int("idle", cs.idle.Len()),
+		slog.Int("receiving", cs.receiving.Len()), slog.Int("closing", cs.closing),
+	}
+}
+
 // hasUnread reports, without blocking, whether there are bytes that have not been read.
 func (c *downstreamConn) hasUnread() bool {
 	n, err := peek(c.Conn)
--- a/internal/sidecar/drain_test.go
+++ b/internal/sidecar/drain_test.go
@@ -95,7 +95,7 @@
 	closeAfter := func(copies int) time.Duration {
 		s := &Sidecar{cfg: Config{}}
 		s.cfg.Site.Settings = forkline.Settings{Copies: copies, Classes: []forkline.Class{{Timeout: 6000}}}
-		return s.drainLimit() - newFront(nil, &s.cfg.Site.Settings, 1).finishTime()
+		return s.drainLimit() - newFront(&loop{}, &s.cfg.Site.Settings, 1).finishTime()
 	}
 	if single, unstated, ofTwo := closeAfter(1), closeAfter(0), closeAfter(2); single != 2850*time.Millisecond || unstated != single || ofTwo >= single {
 		t.Errorf("connections close %v after SIGTERM with 1 copy, %v with an unstated number and %v with 2", single, unstated, ofTwo)
--- a/internal/sidecar/front.go
+++ b/internal/sidecar/front.go
@@ -34,6 +34,7 @@
 	loop               *loop
 	index              atomic.Pointer[settingsIndex]
 	downstream         *downstream
+	events             *eventLog
 	draining           atomic.Bool   // reports not ready
 	closeAfterResponse atomic.Bool   // every response closes its connection
 	drainAcceptTime    time.Duration // from SIGTERM until the listener is closed
@@ -99,7 +100,7 @@
 func newFront(l *loop, settings *forkline.Settings, maxConns int) *front {
 	f := &front{
 		loop: l, drainAcceptTime: defaultDrainAcceptTime, requestTimeout: defaultRequestTimeout,
-		downstream: newDownstream(maxConns),
+		events: l.events, downstream: newDownstream(maxConns, l.events),
 	}
 	f.index.Store(newSettingsIndex(settings))
 	return f
@@ -108,68 +109,90 @@
 // serve accepts connections until the listener is closed.
 func (f *front) serve(ln net.Listener) error { return f.downstream.serve(ln, f.serveConn) }
 
-// serveConn serves the requests of one connection in turn, until either side closes it.
-func (f *front) serveConn(c *downstreamConn) {
-	for isFirst, keepAlive := true, true; keepAlive; isFirst = false {
+// serveConn serves the requests of one connection in turn, until either side closes it. It returns why the connection ended.
+func (f *front) serveConn(c *downstreamConn) eventReason {
+	for isFirst := true; ; isFirst = false {
 		readBy := time.Now().Add(f.requestTimeout)
-		if !f.downstream.awaitRequest(c, readBy) {
-			return
+		if reason := f.downstream.awaitRequest(c, readBy); reason != "" {
+			return reason
 		}
 		if !isFirst {
 			readBy = time.Now().Add(f.requestTimeout)
 		}
 		c.SetReadDeadline(readBy)
-		m, err := readMessage(c.reader)
-		if err != nil {
-			f.rejectUnreadable(c, err)
-			return
-		}
-		keepAlive = m.keepAlive() && !f.closeAfterResponse.Load()
-		if m.length == lengthUnspecified { // a request without a length has no body
-			m.length = 0
-		}
-		if m.startLine == "GET /-/ready HTTP/1.1" {
-			if c.writeResponse(&response{status: f.readyStatus()}, !keepAlive) != nil || !f.downstream.endRequest(c) {
-				return
-			}
-			continue
-		}
-		expectsContinue := m.length != 0 && m.hasToken("Expect", "100-continue")
-		request, status, reason := f.parse(m)
-		if request == nil {
-			c.reject(status, reason)
-			return
-		}
-		if expectsContinue {
-			c.SetWriteDeadline(time.Now().Add(writeTimeout))   // the deadline of the previous response may have passed
-			io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n") // a write error will show when reading the body
-		}
-		if request.outgoing.body, err = readBody(c.reader, m.length); err != nil {
-			f.rejectUnreadable(c, err)
-			return
-		}
-		r, ok := f.awaitResponse(c, request)
-		keepAlive = keepAlive && !f.closeAfterResponse.Load() && r.status/100 != 4
-		if !ok || c.writeResponse(&r, !keepAlive) != nil || keepAlive && !f.downstream.endRequest(c) {
-			return
+		if keepAlive, reason := f.serveRequest(c); !keepAlive {
+			return reason
 		}
 	}
-	c.lingerClose()
 }
 
-// rejectUnreadable answers input that is not a valid request. A connection that times out or breaks is just closed.
-func (f *front) rejectUnreadable(c *downstreamConn, err error) {
+// serveRequest reads one request, answers it and reports whether the connection stays open. If not, it returns why.
+func (f *front) serveRequest(c *downstreamConn) (keepAlive bool, reason eventReason) {
+	m, err := readMessage(c.reader)
+	if err != nil {
+		return false, f.rejectUnreadable(c, err)
+	}
+	if m.length == lengthUnspecified { // a request without a length has no body
+		m.length = 0
+	}
+	if m.startLine == "GET /-/ready HTTP/1.1" {
+		return f.respond(c, &m, &response{status: f.readyStatus()})
+	}
+	expectsContinue := m.length != 0 && m.hasToken("Expect", "100-continue")
+	request, status, problem := f.parse(m)
+	if request == nil {
+		f.events.count(eventReject, reasonRejected, m.header.Get("X-Request-Id"))
+		c.reject(status, problem)
+		return false, reasonRejected
+	}
+	if expectsContinue {
+		c.SetWriteDeadline(time.Now().Add(writeTimeout))   // the deadline of the previous response may have passed
+		io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n") // a write error will show when reading the body
+	}
+	if request.outgoing.body, err = readBody(c.reader, m.length); err != nil {
+		return false, f.rejectUnreadable(c, err)
+	}
+	r, reason := f.awaitResponse(c, request)
+	if reason != "" {
+		return false, reason
+	}
+	return f.respond(c, &m, &r)
+}
+
+// respond writes the final response to the request m and reports whether the connection stays open. If not, it returns why.
+func (f *front) respond(c *downstreamConn, m *message, r *response) (keepAlive bool, reason eventReason) {
+	keepAlive = m.keepAlive() && !f.closeAfterResponse.Load() && r.status/100 != 4
+	if c.writeResponse(r, !keepAlive) != nil {
+		return false, reasonWriteFailed
+	}
+	if !keepAlive {
+		c.lingerClose()
+		return false, reasonResponseClosing
+	}
+	if !f.downstream.endRequest(c) {
+		return false, reasonEvictedSlow
+	}
+	return true, ""
+}
+
+// rejectUnreadable answers input that is not a valid request and returns what is wrong with it. A connection that times out or
+// breaks is just closed.
+func (f *front) rejectUnreadable(c *downstreamConn, err error) eventReason {
 	switch {
 	case err == errTooLarge:
+		f.events.count(eventReject, reasonTooLarge, "")
 		c.reject(http.StatusRequestEntityTooLarge, err.Error())
+		return reasonTooLarge
 	case isMalformed(err):
+		f.events.count(eventReject, reasonMalformed, "")
 		c.reject(http.StatusBadRequest, err.Error())
+		return reasonMalformed
 	}
+	return f.downstream.endOfRead(c, err, reasonRequestTimeout)
 }
 
-// awaitResponse passes a complete request to the loop and waits for the final response. It returns false if the
-// client disconnects first.
-func (f *front) awaitResponse(c *downstreamConn, request *call) (response, bool) {
+// awaitResponse passes a complete request to the loop and waits for the final response. If there will be none, it returns why.
+func (f *front) awaitResponse(c *downstreamConn, request *call) (response, eventReason) {
 	responses, decidedAt := make(chan response, 1), time.Time{}
 	request.respond = func(r response) {
 		decidedAt = time.Now()
@@ -181,25 +204,25 @@
 	request.setDeadline(arrivedAt)
 	c.SetReadDeadline(time.Time{})
 	if !f.downstream.beginRequest(c) {
-		return response{}, false
+		return response{}, reasonEvictedSlow
 	}
 	request.clientGone = c.disconnected
 	f.loop.post(func() { f.loop.margin.observe(deadline.Intake, arrivedAt); f.loop.accept(request) })
 	if c.awaitDisconnect() {
 		select {
 		case r := <-responses:
-			return r, true
+			return r, ""
 		default:
 		}
 		f.loop.post(func() { f.loop.handleDisconnect(request) })
-		return response{}, false
+		return response{}, reasonClientLeft
 	}
 	select {
 	case r := <-responses:
 		f.loop.margin.observeResponse(decidedAt)
-		return r, true
+		return r, ""
 	case <-f.loop.done:
-		return response{}, false
+		return response{}, reasonEnded
 	}
 }
 
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -40,6 +40,7 @@
 	readyServers      int             // number of listed servers that are ready
 	margin            margin
 	responseLog       *responseLog
+	events            *eventLog
 }
 
 func newLoop(cfg *Config, u *upstream) (*loop, error) {
@@ -50,7 +51,7 @@
 		calls: map[uint32]*call{}, callsByID: map[string]*call{}, timer: time.NewTimer(time.Hour), timerAt: math.Inf(1),
 		directory: newDirectory(cfg.Site.Zones, cfg.Site.Kinds), serverReady: map[uint32]bool{},
 	}
-	l.margin.loop, l.responseLog = l, newResponseLog(slog.Default())
+	l.margin.loop, l.responseLog, l.events = l, newResponseLog(slog.Default()), newEventLog(slog.Default())
 	l.limitsConcurrency = cfg.Site.Settings.Stage == 0
 	l.endedIDs, l.idRetention = newRecentIDs(), idRetentionFor(&cfg.Site.Settings)
 	l.retryAfter = msToDuration(cfg.Site.Settings.Limits.RetryAfter())
@@ -138,7 +139,7 @@
 		if entry.call == nil {
 			l.handle(&forkline.Event{Kind: forkline.EvTimer, Token: entry.token})
 		} else {
-			l.abort(entry.call)
+			l.abort(entry.call, reasonBackstop)
 		}
 	}
 }
@@ -163,9 +164,9 @@
 			l.send(c, action)
 		}
 	case forkline.ActRefuse:
-		l.finish(c, response{status: statusRefused, retryAfter: msToDuration(action.Delay)})
+		l.finish(c, response{status: statusRefused, retryAfter: msToDuration(action.Delay)}, c.reasonToGiveUp())
 	case forkline.ActFail:
-		l.finish(c, response{status: statusFailed})
+		l.finish(c, response{status: statusFailed}, c.reasonToGiveUp())
 	case forkline.ActCancel:
 		if c != nil && int(action.Attempt) < len(c.attempts) {
 			c.attempts[action.Attempt].abort()
--- a/internal/sidecar/reload.go
+++ b/internal/sidecar/reload.go
@@ -135,7 +135,7 @@
 func (l *loop) reapplySettings(c *call) bool {
 	class, status, reason := l.reloadedIndex.resolveClass(c.class, c.method, c.hasKey)
 	if class == nil {
-		l.finish(c, response{status: status, body: []byte(reason + "\n")})
+		l.finish(c, response{status: status, body: []byte(reason + "\n")}, reasonEffectChanged)
 		return false
 	}
 	previous := c.answerWithin
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -69,6 +69,7 @@
 		s.cachedListDelay = defaultCachedListDelay
 	}
 	s.front = newFront(s.loop, settings, s.maxDownstream)
+	s.loop.events.state = s.state
 	if s.listener, err = net.Listen("tcp", cfg.Listen); err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
@@ -123,10 +124,21 @@
 		return fmt.Errorf("serve: %w", err)
 	case <-ctx.Done():
 	}
-	s.front.drain(s.listener, s.drainLimit())
+	limit := s.drainLimit()
+	slog.Info("draining", "limit", limit)
+	s.front.drain(s.listener, limit)
+	s.loop.events.flush()
+	slog.Info("drained")
 	return nil
 }
 
+// state returns the counts of connections and the memory in use, for the log.
+func (s *Sidecar) state() []slog.Attr {
+	attrs := s.front.downstream.state()
+	attrs = append(attrs, slog.Int("upstream_open", s.loop.upstream.open()))
+	return append(attrs, slog.Uint64("runtime_bytes", runtimeMemory()))
+}
+
 // SetDiscoveryAddr watches discovery at another address from now on. The current list stays in use. The loop must not
 // wait for discovery's mutex, because a watch holds it while it waits for space in the loop's event queue.
 func (s *Sidecar) SetDiscoveryAddr(addr string) {
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -186,8 +186,8 @@
 	} {
 		var got []response
 		c.call.respond = func(r response) { got = append(got, r) }
-		l.abort(c.call)
-		l.abort(c.call)
+		l.abort(c.call, reasonBackstop)
+		l.abort(c.call, reasonBackstop)
 		if len(got) != 1 || got[0].status != c.want {
 			t.Errorf("%s: responses %v, want one with status %d", name, got, c.want)
 		}
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -145,6 +145,13 @@
 	e.idle = nil
 }
 
+// open returns the number of connections, including those being dialed.
+func (u *upstream) open() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.openConns
+}
+
 // find returns the endpoint of a server, or nil if the server is not listed.
 func (u *upstream) find(id uint32) *endpoint {
 	u.mu.Lock()
