--- a/cmd/forkline/descriptors_test.go
+++ b/cmd/forkline/descriptors_test.go
@@ -47,11 +47,17 @@
 // startLimited runs the program until the test ends. It is configured with descriptorLimit, and the system allows it
 // maxDescriptors. It returns the process, its address and the path of its configuration file.
 func startLimited(t *testing.T, maxDescriptors int, cfg map[string]any) (p *os.Process, addr, path string) {
+	t.Helper()
+	return startWithLimits(t, 192, descriptorLimit, maxDescriptors, cfg)
+}
+
+// startWithLimits runs the program as startLimited does, configured with the given limits.
+func startWithLimits(t *testing.T, memoryMB, sockets, maxDescriptors int, cfg map[string]any) (p *os.Process, addr, path string) {
 	t.Helper()
 	if cfg["seed"], cfg["name"] = "1", "n"; cfg["listen"] == nil {
 		cfg["listen"] = "127.0.0.1:0"
 	}
-	cfg["limits"] = map[string]any{"cores": 1, "memory_mb": 192, "sockets": descriptorLimit}
+	cfg["limits"] = map[string]any{"cores": 1, "memory_mb": memoryMB, "sockets": sockets}
 	text, err := json.Marshal(cfg)
 	if err != nil {
 		t.Fatal(err)
