Bound the memory of messages in progress by a part of limits.memory_mb

Class: a resource that clients choose the amount of and nothing counts.

Cause: front.serveRequest read a body of up to 64 KB for each of up to 580 connections (readBody), a head of 16 KB in fields of five bytes became a map of some 0.4 MB (readMessage), and readFinalResponse read a response of 64 KB for each of up to 388 endpoint connections. Only the number of connections was bounded, and SetMemoryLimit cannot free what is in use. Ruled out: connections alone (idle clients: 12.7 of 32 MB), a panic (no trace), a failed start (every start logs that it serves).

A message that takes more than 2 KB reserves what it takes in one step, before it is read, so that none waits while it holds a part; those that wait are served in order. While a request waits, those that hold memory and have made no progress for 50 ms, or take over 500 ms, are refused, the one longest without progress first. A head has at most 256 fields. An evicted request gets 503 where it got a bare close, and one that becomes complete just then is answered, where beginRequest closed its connection with the request read. SIGHUP applies a new memory_mb to the budgets.

Tests changed: signatures only, and where slowRequestTime is an hour, stallTime is as well.

--- a/internal/sidecar/call.go
+++ b/internal/sidecar/call.go
@@ -176,6 +176,7 @@
 		a.lastByteBy = l.timeAt(action.LastByteBy)
 	}
 	a.clientDisconnected = c.clientDisconnected
+	a.responseMemory = l.upstream.responseMemory
 	if l.limitsConcurrency {
 		number := len(c.attempts)
 		a.onConnecting = func(connecting bool) { l.tryPost(func() { l.reportConnecting(c, number, connecting) }) }
@@ -214,6 +215,7 @@
 // finish sends the final response of a call, unless it has ended.
 func (l *loop) finish(c *call, r response, reason eventReason) {
 	if c == nil || c.ended {
+		r.memory.release()
 		return
 	}
 	l.respond(c, r, reason)
--- a/internal/sidecar/downstream.go
+++ b/internal/sidecar/downstream.go
@@ -2,56 +2,39 @@
 
 import (
 	"bufio"
-	"bytes"
 	"container/list"
 	"errors"
-	"fmt"
-	"io"
 	"log/slog"
 	"net"
-	"net/http"
 	"os"
-	"strconv"
 	"sync"
-	"syscall"
 	"time"
 )
 
 const (
-	writeTimeout  = 3 * time.Second // limit for writing a response
-	lingerTimeout = 500 * time.Millisecond
-	// lingerBytes is how much is read and discarded from a client that is still sending, so that an error response
-	// reaches it.
-	lingerBytes       = 256 << 10
 	acceptRetryDelay  = 5 * time.Millisecond
 	drainPollInterval = 5 * time.Millisecond
-	evictionHeadroom  = 8 // idle connections are evicted when fewer free slots than this remain
+	evictionHeadroom  = 8 // connections are evicted when fewer free slots than this remain
 	// defaultSlowRequestTime is how long a request may take to arrive before its connection may be evicted as slow.
 	defaultSlowRequestTime = 500 * time.Millisecond
+	// defaultStallTime is how long a request may make no progress before its connection may be evicted as slow. It is longer than
+	// the pauses between the packets of one request.
+	defaultStallTime = 50 * time.Millisecond
 )
 
-// downstreamConn is a connection from a client. The fields below reader are guarded by downstream.mu.
-type downstreamConn struct {
-	net.Conn
-	reader         *bufio.Reader
-	queue          *list.List // list that holds it; nil while a request is open
-	element        *list.Element
-	listedSince    time.Time // when it was added to that list
-	closeRequested bool      // to be closed unless a request arrives first
-	evicted        bool      // closed because it was too slow; further input is ignored
-}
-
-// downstream holds the connections of clients. Near the limit it evicts connections without an open request, the one
-// idle longest first, and then slow ones, so that clients which hold idle connections or send slowly cannot keep
-// others out.
+// downstream holds the connections of clients. Where slots or memory are short, it evicts connections without an open request: the
+// one idle longest first, and then those that are receiving a request too slowly, the one longest without progress first. So clients
+// that hold idle connections or send slowly cannot keep others out.
 //
-// A connection that is receiving a request is not evicted, because the request may become complete and be accepted at
-// any instant. A new connection waits until that request is complete or has proved slow, and later ones wait in the
+// A connection whose request makes progress is not evicted. A new connection waits for such requests, and later ones wait in the
 // listener's backlog, in order. If they were closed instead, the clients that reconnect fastest would get all slots.
 type downstream struct {
 	maxConns        int
 	events          *eventLog
+	requestMemory   *memoryBudget // of requests that are being received or answered
+	inputMemory     *memoryBudget // of the input behind them
 	slowRequestTime time.Duration // see defaultSlowRequestTime
+	stallTime       time.Duration // see defaultStallTime
 	acceptDone      chan struct{} // closed when no more connections are accepted
 	changed         chan struct{} // signaled when a connection has moved to another list or ended
 	mu              sync.Mutex
@@ -63,7 +46,9 @@
 
 func newDownstream(maxConns int, events *eventLog) *downstream {
 	return &downstream{
-		maxConns: maxConns, events: events, slowRequestTime: defaultSlowRequestTime,
+		maxConns: maxConns, events: events, requestMemory: newMemoryBudget(defaultMemoryMB, requestMemoryShare),
+		inputMemory:     newMemoryBudget(defaultMemoryMB, inputMemoryShare),
+		slowRequestTime: defaultSlowRequestTime, stallTime: defaultStallTime,
 		acceptDone: make(chan struct{}), changed: make(chan struct{}, 1),
 		idle: list.New(), receiving: list.New(),
 	}
@@ -113,7 +98,9 @@
 		cs.events.count(eventClose, reasonNoSlot, "")
 		return nil
 	}
-	c := &downstreamConn{Conn: conn, reader: bufio.NewReader(conn)}
+	c := &downstreamConn{Conn: conn}
+	c.input = newClientInput(conn, cs.inputMemory, func() bool { return cs.resumeReading(c) })
+	c.reader = bufio.NewReader(c.input)
 	cs.move(c, cs.idle)
 	cs.openConns++
 	return c
@@ -122,11 +109,8 @@
 // ensureEviction makes sure that a connection is being evicted. It returns how long to wait before checking again and
 // whether any connection can be evicted at all.
 func (cs *downstream) ensureEviction() (time.Duration, bool) {
-	if cs.closing > 0 || cs.evict() {
-		return cs.slowRequestTime, true
-	}
-	if e := cs.receiving.Front(); e != nil {
-		return max(cs.slowRequestTime-time.Since(e.Value.(*downstreamConn).listedSince), 0) + time.Millisecond, true
+	if cs.closing > 0 || cs.evict() || cs.receiving.Len() > 0 {
+		return cs.stallTime, true
 	}
 	return 0, false
 }
@@ -137,17 +121,73 @@
 		cs.requestClose(e.Value.(*downstreamConn))
 		return true
 	}
-	if e := cs.receiving.Front(); e != nil && time.Since(e.Value.(*downstreamConn).listedSince) > cs.slowRequestTime {
-		c := e.Value.(*downstreamConn)
-		cs.move(c, nil)
-		c.evicted = true
-		cs.closing++
-		c.Close()
+	if c := cs.slowest(func(*downstreamConn) bool { return true }); c != nil {
+		cs.evictSlow(c)
 		return true
 	}
 	return false
 }
 
+// slowest returns the connection that has been receiving a request with no progress for the longest time, of those that may be
+// evicted and match; nil if there is none.
+func (cs *downstream) slowest(matches func(*downstreamConn) bool) *downstreamConn {
+	var slowest *downstreamConn
+	var progressAt time.Time
+	now := time.Now()
+	for e := cs.receiving.Front(); e != nil; e = e.Next() {
+		c := e.Value.(*downstreamConn)
+		at := c.input.lastProgress()
+		tooSlow := now.Sub(at) > cs.stallTime || now.Sub(c.listedSince) > cs.slowRequestTime
+		if tooSlow && !c.awaitsMemory && matches(c) && (slowest == nil || at.Before(progressAt)) && !c.hasUnread() {
+			slowest, progressAt = c, at
+		}
+	}
+	return slowest
+}
+
+// evictSlow has the goroutine of a connection that is receiving a request refuse the request and close the connection. Only that
+// goroutine can tell that the request has not become complete.
+func (cs *downstream) evictSlow(c *downstreamConn) {
+	cs.move(c, nil)
+	c.evicted = true
+	cs.closing++
+	c.SetReadDeadline(time.Unix(1, 0))
+}
+
+// resumeReading withdraws the eviction of a connection whose input has arrived after all. It reports whether to read on.
+func (cs *downstream) resumeReading(c *downstreamConn) bool {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	if !c.evicted || !c.hasUnread() {
+		return false
+	}
+	c.evicted = false
+	cs.closing--
+	cs.move(c, cs.receiving)
+	c.SetReadDeadline(c.readBy)
+	return true
+}
+
+// evictHolders evicts up to count of the slowest connections that hold memory for a request.
+func (cs *downstream) evictHolders(count int) {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	for range count {
+		c := cs.slowest(func(c *downstreamConn) bool { return c.holdsMemory })
+		if c == nil {
+			return
+		}
+		cs.evictSlow(c)
+	}
+}
+
+// setMemoryState records whether the request of a connection holds memory, or waits for it and so makes no progress.
+func (cs *downstream) setMemoryState(c *downstreamConn, holds, awaits bool) {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	c.holdsMemory, c.awaitsMemory = holds, awaits
+}
+
 // requestClose has the goroutine of an idle connection close it. Only that goroutine can tell that no request has
 // arrived.
 func (cs *downstream) requestClose(c *downstreamConn) {
@@ -173,6 +213,8 @@
 
 func (cs *downstream) remove(c *downstreamConn) {
 	c.Close()
+	c.releaseMemory()
+	c.input.dropAhead()
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
 	cs.openConns--
@@ -194,9 +236,10 @@
 		c.SetReadDeadline(time.Time{}) // does not block, as there are unread bytes
 		_, err = c.reader.Peek(1)
 	}
-	if err != nil || !cs.moveUnlessEvicted(c, cs.receiving) {
+	if err != nil {
 		return cs.endOfRead(c, err, reasonIdleTimeout)
 	}
+	cs.moveFromEviction(c, cs.receiving)
 	return ""
 }
 
@@ -222,24 +265,20 @@
 	return c.closeRequested
 }
 
-// beginRequest marks a connection as having an open request, endRequest marks it as idle. Both report whether the
-// connection can still be used.
-func (cs *downstream) beginRequest(c *downstreamConn) bool { return cs.moveUnlessEvicted(c, nil) }
-func (cs *downstream) endRequest(c *downstreamConn) bool   { return cs.moveUnlessEvicted(c, cs.idle) }
+// beginRequest marks a connection as having an open request, endRequest marks it as idle.
+func (cs *downstream) beginRequest(c *downstreamConn) { cs.moveFromEviction(c, nil) }
+func (cs *downstream) endRequest(c *downstreamConn)   { cs.moveFromEviction(c, cs.idle) }
 
-// moveUnlessEvicted moves a connection to a list, as move does, and withdraws a requested close. It does nothing and returns
-// false if the connection has been evicted.
-func (cs *downstream) moveUnlessEvicted(c *downstreamConn, to *list.List) bool {
+// moveFromEviction moves a connection to a list, as move does, and withdraws a close or an eviction that has been requested: a
+// request that has arrived is answered.
+func (cs *downstream) moveFromEviction(c *downstreamConn, to *list.List) {
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
-	if !c.evicted {
-		if c.closeRequested {
-			c.closeRequested = false
-			cs.closing--
-		}
-		cs.move(c, to)
+	if c.closeRequested || c.evicted {
+		c.closeRequested, c.evicted = false, false
+		cs.closing--
 	}
-	return !c.evicted
+	cs.move(c, to)
 }
 
 // drain closes idle connections until none are left or the deadline passes. A connection that is receiving a request
@@ -273,84 +312,6 @@
 	return []slog.Attr{
 		slog.Int("open", cs.openConns), slog.Int("idle", cs.idle.Len()),
 		slog.Int("receiving", cs.receiving.Len()), slog.Int("closing", cs.closing),
+		cs.requestMemory.state("request_bytes"), cs.inputMemory.state("input_bytes"),
 	}
 }
-
-// hasUnread reports, without blocking, whether there are bytes that have not been read.
-func (c *downstreamConn) hasUnread() bool {
-	n, err := peek(c.Conn)
-	return err == nil && n > 0
-}
-
-// awaitDisconnect waits until the client disconnects and returns true, or false if a read deadline ends the wait.
-// Bytes after the request remain in the reader as long as its buffer has space. If more bytes follow, the end of the
-// stream cannot be reached by reading; only a poll detects it.
-func (c *downstreamConn) awaitDisconnect() bool {
-	for n := c.reader.Buffered() + 1; n <= c.reader.Size(); n = c.reader.Buffered() + 1 {
-		if _, err := c.reader.Peek(n); err != nil {
-			return !errors.Is(err, os.ErrDeadlineExceeded)
-		}
-	}
-	raw, err := rawConn(c.Conn)
-	if err != nil {
-		return false
-	}
-	closed := false
-	err = raw.Read(func(fd uintptr) bool { closed = hungUp(fd); return closed })
-	return err == nil && closed
-}
-
-// disconnected reports, without blocking, whether the client has disconnected. Any goroutine may call it, so that a
-// disconnect takes effect before the connection's own goroutine is scheduled.
-func (c *downstreamConn) disconnected() bool {
-	n, err := peek(c.Conn)
-	switch {
-	case errors.Is(err, syscall.EAGAIN) || errors.Is(err, errors.ErrUnsupported):
-		return false
-	case err != nil || n == 0:
-		return true
-	}
-	raw, err := rawConn(c.Conn) // unread bytes after the request hide the end of the stream from a read
-	if err != nil {
-		return true
-	}
-	closed := false
-	err = raw.Control(func(fd uintptr) { closed = hungUp(fd) })
-	return err != nil || closed
-}
-
-// writeResponse writes a final response. The Content-Length is always sent, so that the client can detect a truncated
-// body.
-func (c *downstreamConn) writeResponse(r *response, closeAfter bool) error {
-	var head bytes.Buffer
-	fmt.Fprintf(&head, "HTTP/1.1 %d %s\r\nContent-Length: %d\r\n", r.status, http.StatusText(r.status), len(r.body))
-	if r.retryAfter > 0 {
-		fmt.Fprintf(&head, "Retry-After: %s\r\n", strconv.FormatFloat(r.retryAfter.Seconds(), 'f', -1, 64))
-	}
-	if closeAfter {
-		head.WriteString("Connection: close\r\n")
-	}
-	r.header.Write(&head)
-	head.WriteString("\r\n")
-	c.SetWriteDeadline(time.Now().Add(writeTimeout))
-	_, err := (&net.Buffers{head.Bytes(), r.body}).WriteTo(c.Conn)
-	return err
-}
-
-// reject sends an error response and closes the connection, since the bytes after an invalid request cannot be
-// interpreted.
-func (c *downstreamConn) reject(status int, reason string) {
-	if c.writeResponse(&response{status: status, body: []byte(reason + "\n")}, true) == nil {
-		c.lingerClose()
-	}
-}
-
-// lingerClose shuts down sending after the last response, so that the connection can be closed. Input is read and
-// discarded for a while, because closing a socket with unread bytes sends a reset, which could overtake the response.
-func (c *downstreamConn) lingerClose() {
-	if tcp, ok := c.Conn.(interface{ CloseWrite() error }); ok {
-		tcp.CloseWrite()
-	}
-	c.SetReadDeadline(time.Now().Add(lingerTimeout))
-	io.CopyN(io.Discard, c.reader, lingerBytes)
-}
--- a/internal/sidecar/downstream_test.go
+++ b/internal/sidecar/downstream_test.go
@@ -47,6 +47,7 @@
 	accepted := make(chan struct{}, 2*evictionHeadroom+1)
 	s, _ := startWithRecordingServer(t, func(s *Sidecar) {
 		s.front.downstream.maxConns, s.front.downstream.slowRequestTime, s.front.requestTimeout = 2*evictionHeadroom, time.Hour, time.Hour
+		s.front.downstream.stallTime = time.Hour
 		withConnWrapper(func(c *net.TCPConn) net.Conn { accepted <- struct{}{}; return c })(s)
 		// The server answers within a millisecond, so on a busy machine its attempts may be cancelled and it may be ejected
 		// (TestOnlyServerIsTriedSoonAfterEjection).
--- a/internal/sidecar/drain_test.go
+++ b/internal/sidecar/drain_test.go
@@ -107,6 +107,7 @@
 	accepted := make(chan struct{}, 2*evictionHeadroom+1)
 	s := startWithoutDrain(t, echo, func(s *Sidecar) {
 		s.front.downstream.maxConns, s.front.downstream.slowRequestTime, s.front.requestTimeout = 2*evictionHeadroom, time.Hour, time.Hour
+		s.front.downstream.stallTime = time.Hour
 		withConnWrapper(func(c *net.TCPConn) net.Conn { accepted <- struct{}{}; return c })(s)
 	})
 	for range 2 * evictionHeadroom {
--- a/internal/sidecar/event_log.go
+++ b/internal/sidecar/event_log.go
@@ -43,6 +43,7 @@
 	reasonEvictedIdle     eventReason = "evicted while idle"
 	reasonEvictedSlow     eventReason = "evicted as slow"
 	reasonNoSlot          eventReason = "no connection slot"
+	reasonNoMemory        eventReason = "no memory for the request"
 	reasonEnded           eventReason = "sidecar ended"
 	reasonSameID          eventReason = "ID in use"
 	reasonRanBefore       eventReason = "may have run under its ID"
--- a/internal/sidecar/exchange.go
+++ b/internal/sidecar/exchange.go
@@ -43,6 +43,7 @@
 	header     http.Header
 	body       []byte
 	retryAfter time.Duration
+	memory     *reservation // of the body; released by whoever writes or drops the response
 }
 
 // attempt is the handle of one send of a request.
@@ -51,8 +52,9 @@
 	cancel             context.CancelFunc
 	firstByteBy        time.Time   // latest time for its first byte; zero = any
 	lastByteBy         time.Time   // latest time for its last byte, which completes the request at the endpoint; zero = any
-	clientDisconnected func() bool // reports whether the client has disconnected; nil = never
-	onConnecting       func(bool)  // called when the attempt starts or stops waiting for a new connection; may be nil
+	clientDisconnected func() bool // reports whether the client may have disconnected; nil = never
+	responseMemory     *memoryBudget
+	onConnecting       func(bool) // called when the attempt starts or stops waiting for a new connection; may be nil
 	mu                 sync.Mutex
 	aborted            bool // guarded by mu
 
@@ -131,7 +133,7 @@
 		return outcome, nil, false
 	}
 	a.serviceTime = time.Since(written)
-	return readResponse(a, c, outgoing)
+	return readResponse(a, c, outgoing, deadline)
 }
 
 // encode returns the request in wire format, with the remaining time until the deadline.
--- a/internal/sidecar/front.go
+++ b/internal/sidecar/front.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"errors"
 	"fmt"
 	"hash/fnv"
 	"io"
@@ -119,8 +120,11 @@
 		if !isFirst {
 			readBy = time.Now().Add(f.requestTimeout)
 		}
+		c.readBy = readBy
 		c.SetReadDeadline(readBy)
-		if keepAlive, reason := f.serveRequest(c); !keepAlive {
+		keepAlive, reason := f.serveRequest(c)
+		c.releaseMemory()
+		if !keepAlive {
 			return reason
 		}
 	}
@@ -128,7 +132,11 @@
 
 // serveRequest reads one request, answers it and reports whether the connection stays open. If not, it returns why.
 func (f *front) serveRequest(c *downstreamConn) (keepAlive bool, reason eventReason) {
-	m, err := readMessage(c.reader)
+	memory := &messageMemory{reserve: func(bytes int64) (*reservation, error) {
+		err := f.downstream.reserve(c, bytes)
+		return c.memory, err
+	}}
+	m, err := readMessage(c.reader, memory)
 	if err != nil {
 		return false, f.rejectUnreadable(c, err)
 	}
@@ -145,6 +153,9 @@
 		c.reject(status, problem)
 		return false, reasonRejected
 	}
+	if err := memory.settle(&m); err != nil {
+		return false, f.rejectUnreadable(c, err)
+	}
 	if expectsContinue {
 		c.SetWriteDeadline(time.Now().Add(writeTimeout))   // the deadline of the previous response may have passed
 		io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n") // a write error will show when reading the body
@@ -162,33 +173,46 @@
 // respond writes the final response to the request m and reports whether the connection stays open. If not, it returns why.
 func (f *front) respond(c *downstreamConn, m *message, r *response) (keepAlive bool, reason eventReason) {
 	keepAlive = m.keepAlive() && !f.closeAfterResponse.Load() && r.status/100 != 4
-	if c.writeResponse(r, !keepAlive) != nil {
+	err := c.writeResponse(r, !keepAlive)
+	r.memory.release()
+	if err != nil {
 		return false, reasonWriteFailed
 	}
 	if !keepAlive {
 		c.lingerClose()
 		return false, reasonResponseClosing
 	}
-	if !f.downstream.endRequest(c) {
-		return false, reasonEvictedSlow
-	}
+	f.downstream.endRequest(c)
 	return true, ""
 }
 
-// rejectUnreadable answers input that is not a valid request and returns what is wrong with it. A connection that times out or
-// breaks is just closed.
+// rejectUnreadable answers input that is not a valid request, or not in time, and returns what is wrong with it. A connection that
+// times out or breaks is just closed.
 func (f *front) rejectUnreadable(c *downstreamConn, err error) eventReason {
-	switch {
+	reason := f.downstream.endOfRead(c, err, reasonRequestTimeout)
+	switch noMemory := (*MemoryBudgetError)(nil); {
+	case errors.As(err, &noMemory):
+		reason = reasonNoMemory
+		f.events.count(eventRefuse, reason, "")
+		c.refuseSlow(f.retryAfter())
+	case reason == reasonEvictedSlow:
+		f.events.count(eventRefuse, reason, "")
+		c.refuseSlow(f.retryAfter())
 	case err == errTooLarge:
-		f.events.count(eventReject, reasonTooLarge, "")
+		reason = reasonTooLarge
+		f.events.count(eventReject, reason, "")
 		c.reject(http.StatusRequestEntityTooLarge, err.Error())
-		return reasonTooLarge
 	case isMalformed(err):
-		f.events.count(eventReject, reasonMalformed, "")
+		reason = reasonMalformed
+		f.events.count(eventReject, reason, "")
 		c.reject(http.StatusBadRequest, err.Error())
-		return reasonMalformed
 	}
-	return f.downstream.endOfRead(c, err, reasonRequestTimeout)
+	return reason
+}
+
+// retryAfter returns the retry delay that a refusal carries.
+func (f *front) retryAfter() time.Duration {
+	return msToDuration(f.index.Load().settings.Limits.RetryAfter())
 }
 
 // awaitResponse passes a complete request to the loop and waits for the final response. If there will be none, it returns why.
@@ -202,10 +226,8 @@
 	}
 	arrivedAt := f.loop.clockMS(time.Now())
 	request.setDeadline(arrivedAt)
+	f.downstream.beginRequest(c)
 	c.SetReadDeadline(time.Time{})
-	if !f.downstream.beginRequest(c) {
-		return response{}, reasonEvictedSlow
-	}
 	request.clientGone = c.disconnected
 	f.loop.post(func() { f.loop.margin.observe(deadline.Intake, arrivedAt); f.loop.accept(request) })
 	if c.awaitDisconnect() {
@@ -214,7 +236,10 @@
 			return r, ""
 		default:
 		}
-		f.loop.post(func() { f.loop.handleDisconnect(request) })
+		f.loop.post(func() {
+			f.loop.handleDisconnect(request)
+			discard(responses)
+		})
 		return response{}, reasonClientLeft
 	}
 	select {
@@ -226,6 +251,15 @@
 	}
 }
 
+// discard releases a response that nobody takes, if there is one.
+func discard(responses <-chan response) {
+	select {
+	case r := <-responses:
+		r.memory.release()
+	default:
+	}
+}
+
 // readyStatus returns the HTTP status of the readiness check: the sidecar is ready if the loop runs, a listed server
 // is ready and the sidecar is not draining.
 func (f *front) readyStatus() int {
--- a/internal/sidecar/front_test.go
+++ b/internal/sidecar/front_test.go
@@ -194,7 +194,7 @@
 	}
 	f.Fuzz(func(t *testing.T, text []byte) {
 		r := bufio.NewReader(strings.NewReader(string(text)))
-		m, err := readMessage(r)
+		m, err := readMessage(r, nil)
 		if err != nil || !strings.HasSuffix(m.startLine, " HTTP/1.1") || !strings.HasPrefix(m.startLine, "POST / ") {
 			return
 		}
@@ -228,7 +228,7 @@
 		f.Add([]byte(text))
 	}
 	f.Fuzz(func(t *testing.T, text []byte) {
-		status, m, body, err := readFinalResponse(bufio.NewReader(strings.NewReader(string(text))))
+		status, m, body, err := readFinalResponse(bufio.NewReader(strings.NewReader(string(text))), nil)
 		if err != nil {
 			return
 		}
--- a/internal/sidecar/message.go
+++ b/internal/sidecar/message.go
@@ -22,7 +22,8 @@
 	maxHeadBytes        = 16 << 10 // bytes of the start line and headers; ten times what clients and endpoints send
 	maxBodyBytes        = 64 << 10 // limit set by the protocol
 	maxInterimResponses = 16       // interim (1xx) responses accepted before the final one
-	initialBodyCapacity = 4 << 10  // bytes; body buffers grow by it, so an announced body that never arrives costs no more
+	maxHeaderFields     = 256      // of a message
+	initialBodyCapacity = 4 << 10  // bytes of the buffer for a body of unknown length, which is doubled as needed
 )
 
 var (
@@ -50,11 +51,12 @@
 	startLine string // request line or status line
 	header    http.Header
 	length    int64 // of the body in bytes, or lengthChunked or lengthUnspecified
+	memory    int64 // bytes that the head takes
 }
 
 // readMessage reads and validates the head of a message. It consumes no byte of the body.
-func readMessage(r *bufio.Reader) (message, error) {
-	text, err := readUntilBlankLine(r)
+func readMessage(r *bufio.Reader, memory *messageMemory) (message, error) {
+	text, fields, err := readUntilBlankLine(r, memory)
 	if err != nil {
 		return message{}, err
 	}
@@ -72,29 +74,35 @@
 			return message{}, errMalformedHead
 		}
 	}
-	m := message{startLine: startLine, header: http.Header(header)}
+	m := message{startLine: startLine, header: http.Header(header), memory: headMemory(len(text), fields)}
 	m.length, err = bodyLength(m.header)
 	return m, err
 }
 
-// readUntilBlankLine reads up to and including the next empty line.
-func readUntilBlankLine(r *bufio.Reader) ([]byte, error) {
-	var text []byte
-	for lineStart := 0; ; {
+// readUntilBlankLine reads up to and including the next empty line. It also returns the number of lines between the first and the
+// empty one.
+func readUntilBlankLine(r *bufio.Reader, memory *messageMemory) (text []byte, fields int, err error) {
+	for lineStart, lines := 0, 0; ; {
 		chunk, err := r.ReadSlice('\n')
-		if len(text)+len(chunk) > maxHeadBytes {
-			return nil, errTooLarge
+		if len(text)+len(chunk) > maxHeadBytes || lines > maxHeaderFields {
+			return nil, 0, errTooLarge
+		}
+		if len(text)+len(chunk) > unreservedBytes || lines > unreservedFields {
+			if err := memory.reserveLargest(); err != nil {
+				return nil, 0, err
+			}
 		}
 		text = append(text, chunk...)
 		switch line := text[lineStart:]; {
 		case err == bufio.ErrBufferFull:
 			continue
 		case err != nil:
-			return nil, err
+			return nil, 0, err
 		case string(line) == "\r\n" || string(line) == "\n":
-			return text, nil
+			return text, max(lines-1, 0), nil
 		}
 		lineStart = len(text)
+		lines++
 	}
 }
 
@@ -120,40 +128,52 @@
 	return int64(n), nil
 }
 
-// readBody reads a complete body. It reads nothing if the announced length exceeds the limit.
+// readBody reads the complete body of a message, for which memory has been reserved. It reads nothing if the announced length
+// exceeds the limit.
 func readBody(r *bufio.Reader, length int64) ([]byte, error) {
 	if length > maxBodyBytes {
 		return nil, errTooLarge
 	}
 	if length == lengthChunked {
-		body, err := io.ReadAll(io.LimitReader(httputil.NewChunkedReader(r), maxBodyBytes+1))
-		if err == nil && len(body) > maxBodyBytes {
-			err = errTooLarge
-		}
+		body, err := readUpTo(httputil.NewChunkedReader(r), maxBodyBytes)
 		if err == nil {
-			_, err = readUntilBlankLine(r) // discard trailers
+			_, _, err = readUntilBlankLine(r, nil) // discard trailers
 		}
 		return body, err
 	}
-	body := make([]byte, 0, min(length, initialBodyCapacity))
-	for int64(len(body)) < length {
-		body = slices.Grow(body, int(min(length-int64(len(body)), initialBodyCapacity)))
-		n, err := r.Read(body[len(body):min(int64(cap(body)), length)])
-		if body = body[:len(body)+n]; err != nil && int64(len(body)) < length {
-			if err == io.EOF {
-				err = io.ErrUnexpectedEOF
-			}
+	body := make([]byte, length)
+	_, err := io.ReadFull(r, body)
+	if err == io.EOF {
+		err = io.ErrUnexpectedEOF
+	}
+	return body, err
+}
+
+// readUpTo reads up to the end of r. Over the limit it returns errTooLarge.
+func readUpTo(r io.Reader, limit int) ([]byte, error) {
+	body := make([]byte, 0, initialBodyCapacity)
+	for {
+		if len(body) == cap(body) {
+			body = append(make([]byte, 0, min(2*cap(body), limit+1)), body...)
+		}
+		n, err := r.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		switch {
+		case len(body) > limit:
+			return nil, errTooLarge
+		case err == io.EOF:
+			return body, nil
+		case err != nil:
 			return nil, err
 		}
 	}
-	return body, nil
 }
 
 // readFinalResponse reads the complete final response of an endpoint. A response without a stated length is an error,
 // since truncation could not be detected.
-func readFinalResponse(r *bufio.Reader) (status int, m message, body []byte, err error) {
+func readFinalResponse(r *bufio.Reader, memory *messageMemory) (status int, m message, body []byte, err error) {
 	for range maxInterimResponses {
-		if m, err = readMessage(r); err != nil {
+		if m, err = readMessage(r, memory); err != nil {
 			return 0, m, nil, err
 		}
 		version, rest, _ := strings.Cut(m.startLine, " ")
@@ -171,6 +191,9 @@
 		case m.length == lengthUnspecified:
 			return 0, m, nil, errNoLength
 		}
+		if err = memory.settle(&m); err != nil {
+			return 0, m, nil, err
+		}
 		body, err = readBody(r, m.length)
 		return status, m, body, err
 	}
--- a/internal/sidecar/outcome.go
+++ b/internal/sidecar/outcome.go
@@ -1,10 +1,12 @@
 package sidecar
 
 import (
+	"context"
 	"errors"
 	"net/http"
 	"os"
 	"slices"
+	"time"
 
 	"forkline"
 )
@@ -14,9 +16,22 @@
 
 // readResponse reads the response and returns the outcome that it proves. The result reusable reports whether the
 // connection can be used again.
-func readResponse(a *attempt, c *conn, outgoing *upstreamRequest) (outcome forkline.Outcome, resp *response, reusable bool) {
+func readResponse(a *attempt, c *conn, outgoing *upstreamRequest, deadline time.Time) (outcome forkline.Outcome, resp *response, reusable bool) {
+	ctx, cancel := context.WithDeadline(a.ctx, deadline)
+	defer cancel()
+	memory := &messageMemory{}
+	if a.responseMemory != nil {
+		memory.reserve = func(bytes int64) (*reservation, error) { return a.responseMemory.reserve(ctx, bytes) }
+	}
+	defer func() {
+		if resp == nil {
+			memory.held.release()
+		} else {
+			resp.memory = memory.held
+		}
+	}()
 	// A request whose response cannot be read completely may have run, whatever its status line says.
-	status, m, body, err := readFinalResponse(c.reader)
+	status, m, body, err := readFinalResponse(c.reader, memory)
 	if err != nil {
 		if isMalformed(err) && err != errNoLength { // HTTP allows a response without a length
 			a.responseErr = &responseError{cause: err}
--- a/internal/sidecar/outcome_test.go
+++ b/internal/sidecar/outcome_test.go
@@ -88,7 +88,7 @@
 	}
 	f.Fuzz(func(t *testing.T, text []byte) {
 		c := &conn{reader: bufio.NewReader(bytes.NewReader(text))}
-		outcome, final, _ := readResponse(newAttempt(time.Time{}), c, newGetRequest())
+		outcome, final, _ := readResponse(newAttempt(time.Time{}), c, newGetRequest(), time.Now().Add(testTimeout))
 		if final != nil && (final.status == http.StatusTooManyRequests || final.status == http.StatusServiceUnavailable) {
 			t.Errorf("status %d is passed on", final.status)
 		}
--- a/internal/sidecar/reload.go
+++ b/internal/sidecar/reload.go
@@ -35,6 +35,7 @@
 	if restartOnly := s.restartOnlyChanges(&cfg); len(restartOnly) > 0 {
 		slog.Warn("kept until the next start", "keys", strings.Join(restartOnly, " "))
 	}
+	s.limitMemory(cfg.MemoryMB)
 	s.SetDiscoveryAddr(cfg.Discovery)
 	return nil
 }
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -70,6 +70,7 @@
 	}
 	s.front = newFront(s.loop, settings, s.maxDownstream)
 	s.loop.events.state = s.state
+	s.limitMemory(cfg.MemoryMB)
 	if s.listener, err = net.Listen("tcp", cfg.Listen); err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
@@ -132,10 +133,17 @@
 	return nil
 }
 
+// limitMemory divides a new memory limit among the messages in progress.
+func (s *Sidecar) limitMemory(memoryMB int) {
+	s.front.downstream.requestMemory.resize(memoryMB, requestMemoryShare)
+	s.front.downstream.inputMemory.resize(memoryMB, inputMemoryShare)
+	s.loop.upstream.responseMemory.resize(memoryMB, responseMemoryShare)
+}
+
 // state returns the counts of connections and the memory in use, for the log.
 func (s *Sidecar) state() []slog.Attr {
 	attrs := s.front.downstream.state()
-	attrs = append(attrs, slog.Int("upstream_open", s.loop.upstream.open()))
+	attrs = append(attrs, slog.Int("upstream_open", s.loop.upstream.open()), s.loop.upstream.responseMemory.state("response_bytes"))
 	return append(attrs, slog.Uint64("runtime_bytes", runtimeMemory()))
 }
 
--- a/internal/sidecar/socket.go
+++ b/internal/sidecar/socket.go
@@ -10,7 +10,7 @@
 	"golang.org/x/sys/unix"
 )
 
-// This file queries the kernel about a connection without reading from it. No function here blocks.
+// This file queries the kernel about a connection without reading from it. Only awaitReadable blocks.
 
 // rawConn returns the raw connection of c, if it has one.
 func rawConn(c net.Conn) (syscall.RawConn, error) {
@@ -35,13 +35,35 @@
 	if err != nil {
 		return 0, err
 	}
-	controlErr := raw.Control(func(fd uintptr) { // not Read, which would wait for concurrent readers
-		var buf [1]byte
-		n, _, err = syscall.Recvfrom(int(fd), buf[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	})
+	controlErr := raw.Control(func(fd uintptr) { n, err = peekFD(fd) }) // not Read, which would wait for concurrent readers
 	return n, cmp.Or(controlErr, err)
 }
 
+// awaitReadable waits until there are unread bytes and returns 1, or 0 without an error at the end of the stream. The wait ends
+// with an error when the connection's read deadline passes.
+func awaitReadable(c net.Conn) (n int, err error) {
+	raw, err := rawConn(c)
+	if err != nil {
+		return 0, err
+	}
+	waitErr := raw.Read(func(fd uintptr) (done bool) {
+		n, err = peekFD(fd)
+		return !errors.Is(err, syscall.EAGAIN)
+	})
+	return n, cmp.Or(waitErr, err)
+}
+
+// peekFD returns what peek returns for a descriptor.
+func peekFD(fd uintptr) (n int, err error) {
+	var buf [1]byte
+	for {
+		n, _, err = syscall.Recvfrom(int(fd), buf[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		if !errors.Is(err, syscall.EINTR) {
+			return n, err
+		}
+	}
+}
+
 // unackedBytes returns the number of written bytes that the peer's kernel has not acknowledged.
 func unackedBytes(c net.Conn) (n int, err error) {
 	raw, err := rawConn(c)
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -57,6 +57,7 @@
 	maxConns         int           // limit on openConns
 	breakCheckTime   time.Duration // see defaultBreakCheckTime
 	reuseDelay       time.Duration // see defaultReuseDelay
+	responseMemory   *memoryBudget // bounds responses that are being received or passed on
 	firstByteTimeout time.Duration // from an attempt's start to its first byte; 0 = no limit; used by the loop only
 
 	mu                       sync.Mutex
@@ -72,7 +73,7 @@
 func newUpstream(limits forkline.Limits, drainGrace float64, maxConns int) *upstream {
 	u := &upstream{
 		maxConns: maxConns, breakCheckTime: defaultBreakCheckTime, reuseDelay: defaultReuseDelay,
-		endpoints: map[uint32]*endpoint{},
+		endpoints: map[uint32]*endpoint{}, responseMemory: newMemoryBudget(defaultMemoryMB, responseMemoryShare),
 	}
 	u.configure(limits, drainGrace)
 	return u
