Send no request while unread input may hide that its client has left

Cause: the end of a stream is seen behind all bytes that were sent before it. Ruled out: a close with less unread, which TestDisconnectWhileQueued covers, and the reset that a late response provokes, which ends the rest.

Change: clientInput reads ahead up to one request of the largest size, from a budget, and waits for a round trip where it has emptied a buffer that may have been full. While there is still more to read than it takes, no attempt begins: a request that has just been read is refused, one between attempts refused or failed by what may have run. Each still gets its one final response.

--- a/internal/sidecar/call.go
+++ b/internal/sidecar/call.go
@@ -33,6 +33,7 @@
 	outgoing      upstreamRequest
 	respond       func(response) // takes the one final response
 	clientGone    func() bool    // reports whether the connection is closed, before the loop is notified; nil = never
+	mayHideEnd    func() bool    // reports whether unread input may hide that it is closed; nil = never
 	backstop      *timerEntry
 	ended         bool
 	safe          bool // may run any number of times
@@ -47,6 +48,12 @@
 // notification waits in the loop's queue behind earlier events.
 func (c *call) clientDisconnected() bool { return c.clientGone != nil && c.clientGone() }
 
+// clientMayHaveLeft reports whether no attempt may begin, as the client has disconnected or it cannot be seen whether it has.
+func (c *call) clientMayHaveLeft() bool { return c.clientDisconnected() || c.endIsHidden() }
+
+// endIsHidden reports whether it cannot be seen whether the call's client has disconnected.
+func (c *call) endIsHidden() bool { return c.mayHideEnd != nil && c.mayHideEnd() }
+
 // reasonToGiveUp returns why the balancer gives up a call. A call that is nil has ended.
 func (c *call) reasonToGiveUp() eventReason {
 	if c == nil || len(c.attempts) == 0 {
@@ -175,7 +182,7 @@
 	if action.LastByteBy > 0 {
 		a.lastByteBy = l.timeAt(action.LastByteBy)
 	}
-	a.clientDisconnected = c.clientDisconnected
+	a.clientMayHaveLeft = c.clientMayHaveLeft
 	a.responseMemory = l.upstream.responseMemory
 	if l.limitsConcurrency {
 		number := len(c.attempts)
@@ -203,6 +210,8 @@
 		l.finish(c, *final, reasonAfter(outcome))
 	} else if !c.ended && c.clientDisconnected() { // checked before the module decides on another attempt
 		l.handleDisconnect(c)
+	} else if !c.ended && c.endIsHidden() {
+		l.abort(c, reasonInputUnread)
 	}
 	l.handle(&forkline.Event{
 		Kind: forkline.EvOutcome, Request: c.event.Request, Attempt: uint16(number), Server: server,
--- a/internal/sidecar/client_input.go
+++ b/internal/sidecar/client_input.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -14,13 +15,16 @@
 	unreservedReadAhead = 1 << 10                     // bytes of the first buffer, which needs no reservation
 	minRead             = 256                         // space below which the buffer grows
 	arrivalResolution   = 10 * time.Millisecond       // bytes that arrive within it count as having arrived together
+	minWindow           = 4 << 10                     // no receive buffer is assumed to be full with fewer bytes
+	windowUpdateTime    = 25 * time.Millisecond       // a round trip: from reading a full buffer to the arrival of what follows
 )
 
 // clientInput is the input of a client's connection. While a request is open, it reads ahead, because the end of the stream is
 // visible only behind all bytes that the client has sent before: as long as the kernel's receive buffer is full, a client's close
-// does not even reach this machine. It also remembers when bytes arrived.
+// does not even reach this machine. It also remembers when bytes arrived, as the time of a pipelined request counts from its last
+// byte and not from the end of the request before it.
 //
-// Only the connection's goroutine reads. Other goroutines may call lastProgress.
+// Only the connection's goroutine reads. Other goroutines may call lastProgress and mayHideEnd.
 type clientInput struct {
 	conn   net.Conn
 	budget *memoryBudget // bounds the buffers of all connections
@@ -168,3 +172,39 @@
 	in.reserved = reserved
 	return true
 }
+
+// readAheadArrived reads ahead what has arrived, and what could not arrive because the kernel's receive buffer was full. It returns
+// an error at the end of the stream, or if no more can be read ahead. The connection must have no read deadline.
+func (in *clientInput) readAheadArrived() error {
+	before := len(in.ahead)
+	for {
+		_, err := peek(in.conn)
+		if errors.Is(err, errors.ErrUnsupported) {
+			return in.aheadErr
+		}
+		if errors.Is(err, syscall.EAGAIN) && (len(in.ahead)-before < minWindow || !in.awaitWindowUpdate()) {
+			return in.aheadErr
+		}
+		if err := in.readAhead(); err != nil {
+			return err
+		}
+	}
+}
+
+// awaitWindowUpdate waits for a short time and reports whether there is something to read, be it the end of the stream.
+func (in *clientInput) awaitWindowUpdate() bool {
+	in.conn.SetReadDeadline(time.Now().Add(windowUpdateTime))
+	defer in.conn.SetReadDeadline(time.Time{})
+	_, err := awaitReadable(in.conn)
+	return !errors.Is(err, os.ErrDeadlineExceeded)
+}
+
+// mayHideEnd reports whether the client may have closed the connection without any sign of it on this machine: there is more
+// unread input than can be read ahead. Any goroutine may call it.
+func (in *clientInput) mayHideEnd() bool {
+	if !in.full.Load() {
+		return false
+	}
+	n, err := peek(in.conn)
+	return err == nil && n > 0
+}
--- a/internal/sidecar/disconnect_test.go
+++ b/internal/sidecar/disconnect_test.go
@@ -434,7 +434,7 @@
 		written := 0
 		w := &writeRecorder{Conn: local, onWrite: func() { written++ }}
 		a := newAttempt(time.Time{})
-		a.clientDisconnected = func() bool { return written >= disconnectAfter }
+		a.clientMayHaveLeft = func() bool { return written >= disconnectAfter }
 		outgoing := newGetRequest()
 		outgoing.body = bytes.Repeat([]byte("x"), maxBodyBytes)
 		got, resp, reusable := exchange(a, &conn{Conn: w, reader: bufio.NewReader(w)}, outgoing, time.Now().Add(testTimeout), 0)
@@ -516,7 +516,7 @@
 // endpoint has seen it idle for longer than its new idle time would show and may close it at any time.
 func TestUnusedIdleConnectionIsNotKept(t *testing.T) {
 	for name, change := range map[string]func(*attempt){
-		"client disconnected": func(a *attempt) { a.clientDisconnected = func() bool { return true } },
+		"client disconnected": func(a *attempt) { a.clientMayHaveLeft = func() bool { return true } },
 		"late":                func(a *attempt) { a.firstByteBy = time.Now().Add(-time.Second) },
 	} {
 		addr, received := recordingServer(t)
--- a/internal/sidecar/event_log.go
+++ b/internal/sidecar/event_log.go
@@ -44,6 +44,7 @@
 	reasonEvictedSlow     eventReason = "evicted as slow"
 	reasonNoSlot          eventReason = "no connection slot"
 	reasonNoMemory        eventReason = "no memory for the request"
+	reasonInputUnread     eventReason = "too much input unread"
 	reasonEnded           eventReason = "sidecar ended"
 	reasonSameID          eventReason = "ID in use"
 	reasonRanBefore       eventReason = "may have run under its ID"
--- a/internal/sidecar/exchange.go
+++ b/internal/sidecar/exchange.go
@@ -48,15 +48,15 @@
 
 // attempt is the handle of one send of a request.
 type attempt struct {
-	ctx                context.Context
-	cancel             context.CancelFunc
-	firstByteBy        time.Time   // latest time for its first byte; zero = any
-	lastByteBy         time.Time   // latest time for its last byte, which completes the request at the endpoint; zero = any
-	clientDisconnected func() bool // reports whether the client may have disconnected; nil = never
-	responseMemory     *memoryBudget
-	onConnecting       func(bool) // called when the attempt starts or stops waiting for a new connection; may be nil
-	mu                 sync.Mutex
-	aborted            bool // guarded by mu
+	ctx               context.Context
+	cancel            context.CancelFunc
+	firstByteBy       time.Time   // latest time for its first byte; zero = any
+	lastByteBy        time.Time   // latest time for its last byte, which completes the request at the endpoint; zero = any
+	clientMayHaveLeft func() bool // reports whether the client may have disconnected; nil = never
+	responseMemory    *memoryBudget
+	onConnecting      func(bool) // called when the attempt starts or stops waiting for a new connection; may be nil
+	mu                sync.Mutex
+	aborted           bool // guarded by mu
 
 	// The fields below are written by the attempt's goroutine and may be read by others once do has returned.
 	newConnection bool           // the connection was dialed for this attempt
@@ -78,14 +78,14 @@
 	a.cancel()
 }
 
-// mayWrite reports whether the request may still be written: the attempt has not been aborted and the client is
+// mayWrite reports whether the request may still be written: the attempt has not been aborted and the client is known to be
 // connected. It is called right before the first byte and right before the last byte, because the loop may not have
 // processed either event yet.
 func (a *attempt) mayWrite() bool {
 	a.mu.Lock()
 	aborted := a.aborted
 	a.mu.Unlock()
-	return !aborted && (a.clientDisconnected == nil || !a.clientDisconnected())
+	return !aborted && (a.clientMayHaveLeft == nil || !a.clientMayHaveLeft())
 }
 
 // notifyConnecting reports that the attempt has started or stopped waiting for a new connection.
--- a/internal/sidecar/front.go
+++ b/internal/sidecar/front.go
@@ -224,12 +224,19 @@
 		c.SetReadDeadline(time.Unix(1, 0))
 		responses <- r
 	}
-	arrivedAt := f.loop.clockMS(time.Now())
-	request.setDeadline(arrivedAt)
+	readAt := f.loop.clockMS(time.Now())
+	request.setDeadline(readAt)
 	f.downstream.beginRequest(c)
 	c.SetReadDeadline(time.Time{})
-	request.clientGone = c.disconnected
-	f.loop.post(func() { f.loop.margin.observe(deadline.Intake, arrivedAt); f.loop.accept(request) })
+	switch err := c.input.readAheadArrived(); {
+	case err == errReadAheadFull:
+		f.events.count(eventRefuse, reasonInputUnread, request.id)
+		return response{status: statusRefused, retryAfter: f.retryAfter()}, ""
+	case err != nil:
+		return response{}, reasonClientLeft
+	}
+	request.clientGone, request.mayHideEnd = c.disconnected, c.input.mayHideEnd
+	f.loop.post(func() { f.loop.margin.observe(deadline.Intake, readAt); f.loop.accept(request) })
 	if c.awaitDisconnect() {
 		select {
 		case r := <-responses:
