Count the time of a pipelined request from its last byte

Cause: awaitResponse (front.go) counted a request's time from when it was read. A request that is pipelined is read only after the response to the one before it, so its deadline, and the time that an attempt tells its endpoint, grew by that wait: more than what is left to the client.

The delay of the loop is still measured from when the request was read.

Measured: TestPipelinedRequestKeepsItsDeadline (virtual time): 1.945 s before, within 1 s after.

--- a/internal/sidecar/front.go
+++ b/internal/sidecar/front.go
@@ -225,7 +225,7 @@
 		responses <- r
 	}
 	readAt := f.loop.clockMS(time.Now())
-	request.setDeadline(readAt)
+	request.setDeadline(f.loop.clockMS(c.input.deliveredAt))
 	f.downstream.beginRequest(c)
 	c.SetReadDeadline(time.Time{})
 	switch err := c.input.readAheadArrived(); {
--- a/internal/sidecar/unread_input_test.go
+++ b/internal/sidecar/unread_input_test.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"strings"
 	"testing"
+	"testing/synctest"
+	"time"
 )
 
 // Tests of clients that send more than the sidecar reads while a request is open. A close behind so many bytes does not reach the
@@ -123,3 +125,43 @@
 	c.Close()
 	expectMemoryReturned(t, s)
 }
+
+// Guards against a deadline that grows: the time of a pipelined request counts from its last byte, not from the response to the
+// request before it.
+func TestPipelinedRequestKeepsItsDeadline(t *testing.T) {
+	withoutSockets(t, func(t *testing.T, f *front) {
+		local, remote := net.Pipe()
+		defer local.Close()
+		go f.serveConn(f.downstream.admit(remote))
+		deadlines := make(chan time.Duration, 10)
+		sentAt := time.Now()
+		go func() {
+			for _, id := range []string{"first", "second"} { // the first is refused after 1 s, as there is no list
+				fmt.Fprintf(local, "GET /read/x HTTP/1.1\r\nX-Class: read\r\nX-Request-Id: %s\r\nX-Deadline: 1\r\n\r\n", id)
+			}
+		}()
+		go func() {
+			for {
+				time.Sleep(10 * time.Millisecond)
+				f.loop.postAndWait(func() {
+					for _, c := range f.loop.calls {
+						if c.id == "second" {
+							deadlines <- f.loop.timeAt(c.event.Deadline).Sub(sentAt)
+						}
+					}
+				})
+				if len(deadlines) > 0 || time.Since(sentAt) > 3*time.Second {
+					return
+				}
+			}
+		}()
+		go io.Copy(io.Discard, local)
+		time.Sleep(4 * time.Second)
+		synctest.Wait()
+		if len(deadlines) > 0 {
+			if d := <-deadlines; d > time.Second {
+				t.Errorf("the second request may be answered until %v after it was sent, want 1 s at most", d)
+			}
+		}
+	})
+}
