Limit the part of the recent IDs that one client's connection takes

Cause: the IDs of what may have run and is not safe are kept for twice the longest timeout, at most 65,536 of them (recent_ids.go). When they are full, checkAdmission refuses each request that is not safe, whoever sends it.

Change: each ID belongs to the connection that it came on. While over half of the space is taken, a connection that has over a sixteenth of it gets refusals; others are accepted. The space follows memory_mb: 1,024 IDs a MB, 16,384 at least.

Measured: TestRecentIDsOfOneConnectionLeaveSpaceForOthers fails without exceedsShare: the other client is refused.

--- a/internal/sidecar/call.go
+++ b/internal/sidecar/call.go
@@ -21,6 +21,7 @@
 type call struct {
 	event forkline.Event // the request as passed to the module
 	id    string         // X-Request-Id, set by the client
+	owner *idOwner       // of the ID, once the call has ended; nil = no connection
 	// The next five fields come from the request; index holds the settings that were applied to it.
 	class         string
 	tenant        string
@@ -114,7 +115,7 @@
 		return &response{status: statusFailed}, reasonRanBefore
 	case l.aborted:
 		return refusal, reasonAborted
-	case !c.safe && l.endedIDs.isFull(len(l.calls)):
+	case !c.safe && (l.endedIDs.isFull(len(l.calls)) || l.endedIDs.exceedsShare(c.owner)):
 		return refusal, reasonIDsFull
 	}
 	return nil, ""
@@ -258,7 +259,7 @@
 	delete(l.calls, c.event.Request)
 	delete(l.callsByID, c.id)
 	if c.mayHaveRun && !c.safe {
-		l.endedIDs.add(c.id, l.now()+l.idRetention)
+		l.endedIDs.add(c.id, c.owner, l.now()+l.idRetention)
 	}
 	if c.retry != nil {
 		// Not accepted here, as the module's actions are still being applied.
--- a/internal/sidecar/client_conn.go
+++ b/internal/sidecar/client_conn.go
@@ -33,6 +33,8 @@
 	readBy time.Time     // read deadline of the request that is being received
 	memory *reservation  // of the request that is being received or answered
 
+	idOwner idOwner // owned by the loop
+
 	// The fields below are guarded by downstream.mu.
 	queue          *list.List // list that holds it; nil while a request is open
 	element        *list.Element
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -53,7 +53,7 @@
 	}
 	l.margin.loop, l.responseLog, l.events = l, newResponseLog(slog.Default()), newEventLog(slog.Default())
 	l.limitsConcurrency = cfg.Site.Settings.Stage == 0
-	l.endedIDs, l.idRetention = newRecentIDs(), idRetentionFor(&cfg.Site.Settings)
+	l.endedIDs, l.idRetention = newRecentIDs(cfg.MemoryMB), idRetentionFor(&cfg.Site.Settings)
 	l.retryAfter = msToDuration(cfg.Site.Settings.Limits.RetryAfter())
 	var err error
 	l.balancer, err = forkline.New(l.moduleSettings(cfg.Site.Settings), cfg.Seed, l.now())
--- a/internal/sidecar/recent_ids_test.go
+++ b/internal/sidecar/recent_ids_test.go
@@ -75,15 +75,15 @@
 
 // The recent IDs must be bounded in time and in number.
 func TestRecentIDsAreBounded(t *testing.T) {
-	r := newRecentIDs()
-	for i := range 3 * maxRecentIDs {
-		r.add(fmt.Sprint(i), float64(i+100))
+	r := newRecentIDs(0)
+	for i := range 3 * r.max {
+		r.add(fmt.Sprint(i), nil, float64(i+100))
 		r.expire(float64(i))
 	}
 	if len(r.ids) > 101 || len(r.entries) > 400 {
 		t.Errorf("%d ids and %d entries are kept, want some 100 ids", len(r.ids), len(r.entries))
 	}
-	last := 3*maxRecentIDs - 1
+	last := 3*r.max - 1
 	if r.expire(float64(last + 99)); !r.contains(fmt.Sprint(last)) || r.isFull(0) {
 		t.Error("the last id expired too soon, or no capacity is left")
 	}
@@ -111,8 +111,8 @@
 			}
 		}
 		f.loop.postAndWait(func() {
-			for i := range maxRecentIDs {
-				f.loop.endedIDs.add(fmt.Sprint(i), f.loop.now()+f.loop.idRetention)
+			for i := range f.loop.endedIDs.max {
+				f.loop.endedIDs.add(fmt.Sprint(i), nil, f.loop.now()+f.loop.idRetention)
 			}
 		})
 		if status := accept(1, false); status != statusRefused {
@@ -128,3 +128,39 @@
 		}
 	})
 }
+
+// Guards against one client that sends small unsafe requests at full speed under ever new IDs, so that no ID of other clients finds
+// space: only its own requests must be refused then.
+func TestRecentIDsOfOneConnectionLeaveSpaceForOthers(t *testing.T) {
+	withoutSockets(t, func(t *testing.T, f *front) {
+		flood, other := &idOwner{}, &idOwner{}
+		sent := 0
+		f.loop.postAndWait(func() {
+			mayHaveRun := func(owner *idOwner) (refused bool) {
+				sent++
+				c := &call{id: fmt.Sprint(sent), owner: owner, event: forkline.Event{Class: 1}, mayHaveRun: true, ended: true}
+				if r, _ := f.loop.checkAdmission(c); r != nil {
+					return true
+				}
+				f.loop.callsByID[c.id] = c
+				f.loop.release(c)
+				return false
+			}
+			for range 2 * f.loop.endedIDs.max {
+				mayHaveRun(flood)
+			}
+			if !mayHaveRun(flood) {
+				t.Error("the request of the client that took its share was accepted")
+			}
+			if mayHaveRun(other) {
+				t.Error("the request of another client was refused")
+			}
+		})
+		time.Sleep(msToDuration(f.loop.idRetention) + time.Second)
+		f.loop.postAndWait(func() {
+			if f.loop.endedIDs.expire(f.loop.now()); flood.kept != 0 || other.kept != 0 {
+				t.Errorf("%d and %d IDs count as stored after they have expired", flood.kept, other.kept)
+			}
+		})
+	})
+}
--- a/internal/sidecar/reload.go
+++ b/internal/sidecar/reload.go
@@ -36,6 +36,7 @@
 		slog.Warn("kept until the next start", "keys", strings.Join(restartOnly, " "))
 	}
 	s.limitMemory(cfg.MemoryMB)
+	s.loop.post(func() { s.loop.endedIDs.resize(cfg.MemoryMB) })
 	s.SetDiscoveryAddr(cfg.Discovery)
 	return nil
 }
