Keep the IDs of what may have run for 30 s at least

Cause: idRetentionFor kept an ID for twice the longest timeout of the settings. With short deadlines, 250 ms, that is half a second; a client that has left and comes again under its ID later than that was unknown, and an unsafe request ran a second time.

Change: an ID is kept for 30 s at least. What other sidecars cannot know stays open (docs/open.md).

Measured: TestIDOfClientThatLeftDoesNotRunAgain (virtual time, 5 s later) is accepted before, failed after.

--- a/internal/sidecar/recent_ids.go
+++ b/internal/sidecar/recent_ids.go
@@ -11,6 +11,8 @@
 	// A client that waits retries a request under the same ID within the longest timeout of any class. Twice that also covers
 	// network delays and CPU contention.
 	idRetentionFactor = 2.0
+	// A client that has left may come back under the same ID later, whatever its deadline was.
+	minIDRetention = 30000.0 // ms
 
 	recentIDsPerMB  = 1024    // of the memory limit; an ID takes about 60 bytes
 	minRecentIDs    = 1 << 14 // however small the memory limit is
@@ -99,7 +101,7 @@
 
 // idRetentionFor returns how long a client may retry an ID under the given settings, in ms.
 func idRetentionFor(settings *forkline.Settings) float64 {
-	longest := 0.0
+	longest := minIDRetention / idRetentionFactor
 	for _, c := range settings.Classes {
 		longest = max(longest, c.Timeout)
 	}
--- a/internal/sidecar/unread_input_test.go
+++ b/internal/sidecar/unread_input_test.go
@@ -9,6 +9,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"forkline"
 )
 
 // Tests of clients that send more than the sidecar reads while a request is open. A close behind so many bytes does not reach the
@@ -165,3 +167,35 @@
 		}
 	})
 }
+
+// Guards against an ID that runs twice: a request that may have run is sent again under its ID some time after its client has left, and
+// later than any deadline.
+func TestIDOfClientThatLeftDoesNotRunAgain(t *testing.T) {
+	withoutSockets(t, func(t *testing.T, f *front) {
+		settings := f.index.Load().settings
+		for i := range settings.Classes {
+			settings.Classes[i].Timeout = 250
+		}
+		f.loop.idRetention = idRetentionFor(&settings)
+		statuses := make(chan int, 1)
+		f.loop.postAndWait(func() {
+			first := &call{id: "x", event: forkline.Event{Class: 1, Deadline: f.loop.now() + 250}, mayHaveRun: true, ended: true}
+			f.loop.callsByID["x"] = first
+			f.loop.release(first)
+		})
+		time.Sleep(5 * time.Second)
+		f.loop.postAndWait(func() {
+			f.loop.accept(&call{
+				id: "x", event: forkline.Event{Class: 1, Deadline: f.loop.now() + 250}, respond: func(r response) { statuses <- r.status },
+			})
+		})
+		select {
+		case status := <-statuses:
+			if status != statusFailed {
+				t.Errorf("status %d, want %d", status, statusFailed)
+			}
+		default:
+			t.Error("the request was accepted once more")
+		}
+	})
+}
