--- a/cmd/forkline/signals_test.go
+++ b/cmd/forkline/signals_test.go
@@ -200,3 +200,45 @@
 		}
 	}
 }
+
+// Guards against a process that ends by itself without a word: the reader of its log goes away, and the next line that it writes to the
+// broken pipe must not end it.
+func TestLogReaderThatGoesAwayDoesNotEndTheProgram(t *testing.T) {
+	disc, watches := newFakeDiscovery(t, func() string { return "" })
+	text, err := json.Marshal(map[string]any{
+		"name": "n", "listen": "127.0.0.1:0", "seed": "1", "discovery": disc.addr,
+		"limits":   map[string]any{"cores": 1, "memory_mb": 192, "sockets": descriptorLimit},
+		"settings": settingsFor("push"),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	getenv := writeConfig(t, string(text))
+	reader, writer, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	cmd := exec.Command(build(t))
+	cmd.Env = append(os.Environ(), "RELAY_CONFIG="+getenv("RELAY_CONFIG"))
+	cmd.Stdout, cmd.Stderr = writer, writer
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { cmd.Process.Kill() })
+	writer.Close()
+	waitForLog(t, bufio.NewScanner(reader), `(serving)`)
+	eventually(t, "a watch", func() bool { return watches.Load() > 0 })
+	reader.Close()
+	for range 3 { // the program logs the end of each watch before it opens the next one
+		before := watches.Load()
+		disc.stop()
+		disc.start()
+		eventually(t, "the next watch", func() bool { return watches.Load() > before })
+	}
+	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Wait(); err != nil {
+		t.Errorf("exit: %v", err)
+	}
+}
