Write no second summary of events while one is being written

Cause: each summary of the event log ran in a goroutine of its own, started once a second. A log that nobody reads blocks it, and one more would have waited each second, without end.

The next summary is scheduled once the last one has been written.

--- a/internal/sidecar/event_log.go
+++ b/internal/sidecar/event_log.go
@@ -74,7 +74,7 @@
 
 	mu     sync.Mutex
 	counts map[eventKey]*eventCount
-	timer  *time.Timer // of the pending summary; nil = none
+	timer  *time.Timer // of the summary that is pending or being written; nil = none
 }
 
 type eventKey struct {
@@ -102,7 +102,19 @@
 	l.counts[key].count++
 	l.counts[key].id = cmp.Or(id, l.counts[key].id)
 	if l.timer == nil {
-		l.timer = time.AfterFunc(eventLogInterval, l.flush)
+		l.timer = time.AfterFunc(eventLogInterval, l.writeSummary)
+	}
+}
+
+// writeSummary logs the counts and schedules the next summary. Writing a log that nobody reads blocks, so there is never a second one
+// meanwhile.
+func (l *eventLog) writeSummary() {
+	l.flush()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.timer = nil
+	if len(l.counts) > 0 {
+		l.timer = time.AfterFunc(eventLogInterval, l.writeSummary)
 	}
 }
 
@@ -111,10 +123,6 @@
 	l.mu.Lock()
 	counts := l.counts
 	l.counts = map[eventKey]*eventCount{}
-	if l.timer != nil {
-		l.timer.Stop()
-		l.timer = nil
-	}
 	l.mu.Unlock()
 	if len(counts) == 0 {
 		return
--- a/internal/sidecar/event_log_test.go
+++ b/internal/sidecar/event_log_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"log/slog"
+	"runtime"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -36,3 +37,29 @@
 		}
 	})
 }
+
+// stalledWriter is a log that nobody reads until it is released.
+type stalledWriter struct{ release chan struct{} }
+
+func (w stalledWriter) Write(p []byte) (int, error) {
+	<-w.release
+	return len(p), nil
+}
+
+// While nobody reads the log, events must still be counted without waiting, and must not pile up goroutines.
+func TestStalledLogDelaysNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		stalled := stalledWriter{make(chan struct{})}
+		l := newEventLog(slog.New(slog.NewTextHandler(stalled, nil)))
+		before := runtime.NumGoroutine()
+		for range 100 {
+			l.count(eventClose, reasonIdleTimeout, "")
+			time.Sleep(eventLogInterval)
+			synctest.Wait()
+		}
+		if extra := runtime.NumGoroutine() - before; extra > 1 {
+			t.Errorf("%d goroutines wait for the log", extra)
+		}
+		close(stalled.release)
+	})
+}
