Bound the memory of a sliding window of events at any rate

Change: beyond 8,192 events in a window, events within a thousandth of it leave it together. Accepted requests leave early and retries late, so that the budget is never exceeded for it. Up to 8,192 the count is exact, as before: a sidecar at some tens of requests a second never gets there.

TestWindowIsBoundedAtAnyRate fails without the merging (2,000,000 groups in memory, some 20,000 allowed).

--- a/balancer.go
+++ b/balancer.go
@@ -184,6 +184,7 @@
 	}
 	b := &Balancer{rng: stats.NewRandom(seed), now: now, sweepAt: math.Inf(1),
 		servers: map[uint32]*server{}, requests: map[uint32]*request{}}
+	b.retries.LeaveLate = true // the budget is a limit
 	b.configure(settings)
 	if settings.PollList {
 		b.nextPollRound = pollRound
--- a/cmd/forkline/main.go
+++ b/cmd/forkline/main.go
@@ -28,7 +28,7 @@
 }
 
 func run() error {
-	signal.Ignore(syscall.SIGPIPE) // or a log line would end the process once nobody reads the log
+	signal.Ignore(syscall.SIGPIPE)     // or a log line would end the process once nobody reads the log
 	hangups := make(chan os.Signal, 1) // one pending signal is enough: its reload reads the latest file
 	signal.Notify(hangups, syscall.SIGHUP)
 	cfg, err := load(os.Getenv)
--- a/internal/stats/stats.go
+++ b/internal/stats/stats.go
@@ -19,30 +19,63 @@
 	r.UpdatedAt = now
 }
 
-// Window counts the events in a sliding window exactly. A token bucket would be less strict: within one window it
-// lets through a full bucket and its refill. Events that have left the window are removed in bulk.
+// Window counts the events in a sliding window. A token bucket would be less strict: within one window it lets through a full
+// bucket and its refill. Events that have left the window are removed in bulk.
+//
+// The count is exact up to maxExactEvents. Beyond that, events within a small part of the window leave it together, with the first
+// of them or, if LeaveLate is set, with the last, so that the memory does not grow with the rate.
 type Window struct {
-	times []float64 // times of the events, oldest first
-	first int       // index of the oldest event in the window
+	LeaveLate bool
+
+	groups []eventGroup // oldest first
+	first  int          // index of the oldest group in the window
+	count  int          // events of the groups from first on
+	from   float64      // start of the window at the last call of Since
+}
+
+// eventGroup is a number of events that count as having occurred at the same time.
+type eventGroup struct {
+	first float64 // time of the first event
+	at    float64 // time at which they count
+	count int
 }
 
+const (
+	maxExactEvents   = 1 << 13 // events in a window that are counted one by one
+	windowResolution = 1 << 10 // groups into which a window is divided at least, beyond that
+)
+
 // Add counts one event.
-func (w *Window) Add(now float64) { w.times = append(w.times, now) }
+func (w *Window) Add(now float64) {
+	w.count++
+	if last := len(w.groups) - 1; w.count > maxExactEvents && last >= w.first {
+		if g := &w.groups[last]; now-g.first < (now-w.from)/windowResolution {
+			g.count++
+			if w.LeaveLate {
+				g.at = now
+			}
+			return
+		}
+	}
+	w.groups = append(w.groups, eventGroup{now, now, 1})
+}
 
 // Since returns the number of events at or after the given time and removes older ones.
 func (w *Window) Since(from float64) int {
-	for w.first < len(w.times) && w.times[w.first] < from {
+	w.from = from
+	for w.first < len(w.groups) && w.groups[w.first].at < from {
+		w.count -= w.groups[w.first].count
 		w.first++
 	}
-	if w.first > len(w.times)/2 {
-		w.times = w.times[:copy(w.times, w.times[w.first:])]
+	if w.first > len(w.groups)/2 {
+		w.groups = w.groups[:copy(w.groups, w.groups[w.first:])]
 		w.first = 0
 	}
-	return len(w.times) - w.first
+	return w.count
 }
 
-// Len returns the number of events in memory, including those that have left the window. It exists for tests.
-func (w *Window) Len() int { return len(w.times) }
+// Len returns the number of groups in memory, including those that have left the window. It exists for tests.
+func (w *Window) Len() int { return len(w.groups) }
 
 // Sample is a measured value and the time of the measurement, in ms.
 type Sample struct{ At, Value float64 }
--- a/internal/stats/stats_test.go
+++ b/internal/stats/stats_test.go
@@ -33,6 +33,30 @@
 	}
 }
 
+// Guards against memory that grows with the rate of events: at 100 events per ms the groups must stay bounded, and the count must
+// differ from the exact one by no more than the events of one group, in the direction that LeaveLate names.
+func TestWindowIsBoundedAtAnyRate(t *testing.T) {
+	const length, perMS = 10000, 100
+	for _, late := range []bool{false, true} {
+		w := Window{LeaveLate: late}
+		for i := range 3 * length * perMS {
+			now := float64(i) / perMS
+			w.Since(now - length)
+			w.Add(now)
+			if i%perMS != 0 {
+				continue
+			}
+			exact, got := min(i+1, length*perMS+1), w.Since(now-length)
+			if off := got - exact; late && off < 0 || !late && off > 0 || max(off, -off) > length*perMS/windowResolution+perMS {
+				t.Fatalf("late %v: %d events at %v ms, want about %d", late, got, now, exact)
+			}
+		}
+		if w.Len() > 2*(maxExactEvents+2*windowResolution) {
+			t.Errorf("late %v: %d groups are in memory", late, w.Len())
+		}
+	}
+}
+
 func TestRecentUsesOlderSamplesOnlyWhenFewAreRecent(t *testing.T) {
 	ring := make([]Sample, 4)
 	for i := range 6 {
