--- a/internal/sidecar/downstream_test.go
+++ b/internal/sidecar/downstream_test.go
@@ -41,6 +41,34 @@
 	}
 }
 
+// Guards against requests that are answered a second late behind clients that stop half-way (issue 25, 5): a request that makes no
+// progress must be evicted for a new client long before it counts as slow.
+func TestStalledRequestsAreEvicted(t *testing.T) {
+	s, _ := startWithRecordingServer(t, func(s *Sidecar) {
+		s.front.downstream.maxConns, s.front.downstream.slowRequestTime, s.front.requestTimeout = 2*evictionHeadroom, time.Hour, time.Hour
+		s.front.downstream.stallTime = time.Millisecond
+	})
+	for range 2 * evictionHeadroom {
+		sendFirstHalf(t, s, dial(t, s))
+	}
+	c := dial(t, s)
+	c.send("GET", "read", "")
+	if res, _ := c.readResponse(t); res.StatusCode != 200 {
+		t.Errorf("status %d", res.StatusCode)
+	}
+}
+
+// With the fewest descriptors of a deployment, 256, a request with the deadline of the protocol's example must have half of its time
+// left behind 420 clients that stop half-way.
+func TestStalledRequestsDelayOthersForAShortTime(t *testing.T) {
+	const sockets, stopped, deadline = 256, 420, 480 * time.Millisecond
+	available := sockets - reservedSockets(sockets)
+	slots := int(downstreamShare * float64(available))
+	if delay := (stopped + slots - 1) / slots * int(defaultStallTime); delay > int(deadline/2) {
+		t.Errorf("a new connection waits for %v", time.Duration(delay))
+	}
+}
+
 // Near the connection limit a connection with a partly received request must not be evicted for a new client, which
 // waits until there is capacity.
 func TestPartialRequestsAreNotEvicted(t *testing.T) {
