Move the parsing of requests out of front.go and give its errors a type

front.go held the accept of connections, the life of a request, settings by name and the parsing of heads in 372 lines; parse was one function of 55 lines that returned a status and a reason. settingsIndex and parse are in request.go now, parse in steps, and requestError carries status and reason.

--- a/internal/sidecar/front.go
+++ b/internal/sidecar/front.go
@@ -2,15 +2,9 @@
 
 import (
 	"errors"
-	"fmt"
-	"hash/fnv"
 	"io"
-	"math"
 	"net"
 	"net/http"
-	"net/url"
-	"strconv"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -42,61 +36,6 @@
 	requestTimeout     time.Duration // see defaultRequestTimeout
 }
 
-// settingsIndex is an immutable copy of the settings with classes and tenants indexed by name. A reload replaces it.
-type settingsIndex struct {
-	settings forkline.Settings
-	classes  map[string]uint16
-	tenants  map[string]uint16
-}
-
-func newSettingsIndex(settings *forkline.Settings) *settingsIndex {
-	index := &settingsIndex{settings: *settings, classes: map[string]uint16{}, tenants: map[string]uint16{}}
-	for i, c := range settings.Classes {
-		index.classes[c.Name] = uint16(i)
-	}
-	for i, tenant := range settings.Tenants {
-		index.tenants[tenant.Name] = uint16(i)
-	}
-	return index
-}
-
-// resolveClass returns the class with the given name. If the class does not exist or does not permit the request, it
-// returns an HTTP status and the reason.
-func (s *settingsIndex) resolveClass(name, method string, hasKey bool) (c *forkline.Class, status int, reason string) {
-	index, ok := s.classes[name]
-	if !ok {
-		return nil, http.StatusNotFound, "X-Class and the path name no class"
-	}
-	c = &s.settings.Classes[index]
-	wantMethod := http.MethodPost
-	if c.Effect == forkline.Safe {
-		wantMethod = http.MethodGet
-	}
-	switch {
-	case method != wantMethod:
-		return nil, http.StatusMethodNotAllowed, "requests of this class are " + wantMethod
-	case c.Effect == forkline.Keyed && !hasKey:
-		return nil, http.StatusBadRequest, "Idempotency-Key is missing"
-	}
-	return c, 0, ""
-}
-
-// apply sets the class, tenant, deadline and effect of a request. The time to answer is the client's timeout less the
-// margin that is reserved.
-func (s *settingsIndex) apply(request *call, m *margin) {
-	request.index, request.event.Class = s, s.classes[request.class]
-	tenant, ok := s.tenants[request.tenant]
-	if !ok {
-		tenant = uint16(len(s.tenants)) // an unknown tenant, without a quota
-	}
-	request.event.Tenant = tenant
-	c := &s.settings.Classes[request.event.Class]
-	timeout := min(c.Timeout/1000, request.clientTimeout)
-	request.margin = m.reserve(1000 * timeout)
-	request.answerWithin = 1000*timeout - request.margin
-	request.safe, request.outgoing.atMostOnce = c.Effect == forkline.Safe, c.Effect == forkline.Unsafe
-}
-
 // newFront returns a front for at most maxConns client connections.
 func newFront(l *loop, settings *forkline.Settings, maxConns int) *front {
 	f := &front{
@@ -147,10 +86,10 @@
 		return f.respond(c, &m, &response{status: f.readyStatus(), noAttempt: true})
 	}
 	expectsContinue := m.length != 0 && m.hasToken("Expect", "100-continue")
-	request, status, problem := f.parse(m)
-	if request == nil {
+	request, problem := f.parse(m)
+	if problem != nil {
 		f.events.count(eventReject, reasonRejected, m.header.Get("X-Request-Id"))
-		c.reject(status, problem)
+		c.reject(problem.status, problem.reason)
 		return false, reasonRejected
 	}
 	if err := memory.settle(&m); err != nil {
@@ -282,70 +221,6 @@
 	return http.StatusOK
 }
 
-// singleValueHeaders are the headers that the sidecar interprets. A request that repeats one of them is ambiguous and
-// rejected.
-var singleValueHeaders = []string{"Host", "X-Request-Id", "X-Class", "X-Tenant", "X-Deadline", "Idempotency-Key", "Expect"}
-
-// parse validates the head of a request and returns the call. If the request is invalid, it returns an HTTP status
-// and the reason.
-func (f *front) parse(m message) (request *call, status int, reason string) {
-	method, rest, _ := strings.Cut(m.startLine, " ")
-	uri, version, _ := strings.Cut(rest, " ")
-	path, _, _ := strings.Cut(strings.TrimPrefix(uri, "/"), "?")
-	segment, _, _ := strings.Cut(path, "/")
-	decoded, _ := url.PathUnescape(segment) // a class name may contain characters that are escaped in a path
-	if version != "HTTP/1.1" && version != "HTTP/1.0" || !strings.HasPrefix(uri, "/") || hasControl(uri) {
-		return nil, http.StatusBadRequest, "the request line cannot be read"
-	}
-	h := m.header
-	for _, name := range singleValueHeaders {
-		if len(h[name]) > 1 {
-			return nil, http.StatusBadRequest, name + " comes twice"
-		}
-	}
-	name, hasKey, index := h.Get("X-Class"), h.Get("Idempotency-Key") != "", f.index.Load()
-	if segment != name && decoded != name {
-		return nil, http.StatusNotFound, "X-Class and the path name no class"
-	}
-	if class, status, reason := index.resolveClass(name, method, hasKey); class == nil {
-		return nil, status, reason
-	}
-	switch {
-	case h.Get("X-Request-Id") == "":
-		return nil, http.StatusBadRequest, "X-Request-Id is missing"
-	case m.length > maxBodyBytes:
-		return nil, http.StatusRequestEntityTooLarge, "the body is over 64 KiB"
-	}
-	clientTimeout := math.Inf(1)
-	if text := h.Get("X-Deadline"); text != "" {
-		remaining, err := strconv.ParseFloat(text, 64)
-		if err != nil || !(remaining > 0) || math.IsInf(remaining, 0) {
-			return nil, http.StatusBadRequest, "X-Deadline is no time"
-		}
-		clientTimeout = remaining
-	}
-	hint, err := strconv.ParseFloat(h.Get("X-Cost-Hint"), 64)
-	if err != nil {
-		hint = 0
-	}
-	request = &call{
-		event: forkline.Event{WorkHint: hint / 1000}, id: h.Get("X-Request-Id"),
-		class: name, tenant: h.Get("X-Tenant"), method: method, hasKey: hasKey, clientTimeout: clientTimeout,
-	}
-	if cookie, err := (&http.Request{Header: h}).Cookie("obj"); err == nil {
-		sum := fnv.New64a()
-		io.WriteString(sum, cookie.Value)
-		request.event.Key = sum.Sum64()
-	}
-	request.outgoing = upstreamRequest{
-		preamble: fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\n", method, uri, h.Get("Host")),
-		header:   stripHopByHop(h),
-	}
-	index.apply(request, &f.loop.margin)
-	h.Del("Host")
-	return request, 0, ""
-}
-
 // finishTime returns how long before the end of a drain connections are closed. Clients then move to other sidecars
 // of the tier, which leaves slow calls time to finish. A sidecar without peers continues to accept calls for longer:
 // a call it does not accept is certainly lost until the restart, while most calls it accepts are still answered.
--- a/internal/sidecar/reload.go
+++ b/internal/sidecar/reload.go
@@ -135,9 +135,8 @@
 // reapplySettings applies the current settings to a call that was parsed under older ones, and reports whether the
 // call can be accepted.
 func (l *loop) reapplySettings(c *call) bool {
-	class, status, reason := l.reloadedIndex.resolveClass(c.class, c.method, c.hasKey)
-	if class == nil {
-		l.finish(c, response{status: status, body: []byte(reason + "\n")}, reasonEffectChanged)
+	if _, err := l.reloadedIndex.resolveClass(c.class, c.method, c.hasKey); err != nil {
+		l.finish(c, response{status: err.status, body: []byte(err.reason + "\n")}, reasonEffectChanged)
 		return false
 	}
 	previous := c.answerWithin
