--- a/internal/sidecar/client_conn.go
+++ b/internal/sidecar/client_conn.go
@@ -26,10 +26,13 @@
 	lingerBytes        = 256 << 10
 	refuseWriteTimeout = 50 * time.Millisecond // for a response that fits the kernel's buffer unless the client reads nothing
 
-	// After a burst, the requests of one connection that are answered without an attempt are this far apart. The core is busy for a
-	// part of the time, so that the scheduler finds time to look for the input of other connections.
-	unforwardedInterval = 2 * time.Millisecond
-	unforwardedBurst    = 32
+	// Requests of one connection that are answered without an attempt are free up to this rate and burst. Beyond it they are
+	// apart by the interval, and those of all connections together have the total rate. The core is busy for a part of the
+	// time then, so that the scheduler looks for the input of other connections.
+	unforwardedRate      = 10 // per second
+	unforwardedBurst     = 32
+	unforwardedInterval  = 2 * time.Millisecond
+	unforwardedTotalRate = 5000 // per second
 )
 
 // downstreamConn is a connection from a client. Its goroutine owns it, but for the fields that downstream.mu guards.
@@ -69,11 +72,13 @@
 
 // pace delays the next request of a connection after one that was answered without an attempt. Nothing else limits the rate of such
 // requests: they wait for no endpoint.
-func (c *downstreamConn) pace() {
+func (cs *downstream) pace(c *downstreamConn) {
 	if c.unforwarded == nil {
-		c.unforwarded = rate.NewLimiter(rate.Every(unforwardedInterval), unforwardedBurst)
+		c.unforwarded = rate.NewLimiter(unforwardedRate, unforwardedBurst)
+	}
+	if !c.unforwarded.Allow() {
+		time.Sleep(max(unforwardedInterval, cs.unforwarded.Reserve().Delay()))
 	}
-	time.Sleep(c.unforwarded.Reserve().Delay())
 }
 
 // releaseMemory returns the memory of a request that has been answered.
--- a/internal/sidecar/downstream.go
+++ b/internal/sidecar/downstream.go
@@ -9,6 +9,8 @@
 	"os"
 	"sync"
 	"time"
+
+	"golang.org/x/time/rate"
 )
 
 const (
@@ -33,6 +35,7 @@
 	events          *eventLog
 	requestMemory   *memoryBudget // of requests that are being received or answered
 	inputMemory     *memoryBudget // of the input behind them
+	unforwarded     *rate.Limiter // see unforwardedTotalRate
 	slowRequestTime time.Duration // see defaultSlowRequestTime
 	stallTime       time.Duration // see defaultStallTime
 	acceptDone      chan struct{} // closed when no more connections are accepted
@@ -48,6 +51,7 @@
 	return &downstream{
 		maxConns: maxConns, events: events, requestMemory: newMemoryBudget(defaultMemoryMB, requestMemoryShare),
 		inputMemory:     newMemoryBudget(defaultMemoryMB, inputMemoryShare),
+		unforwarded:     rate.NewLimiter(unforwardedTotalRate, unforwardedBurst),
 		slowRequestTime: defaultSlowRequestTime, stallTime: defaultStallTime,
 		acceptDone: make(chan struct{}), changed: make(chan struct{}, 1),
 		idle: list.New(), receiving: list.New(),
--- a/internal/sidecar/front.go
+++ b/internal/sidecar/front.go
@@ -122,7 +122,7 @@
 		return false, reasonResponseClosing
 	}
 	if r.noAttempt {
-		c.pace()
+		f.downstream.pace(c)
 	}
 	f.downstream.endRequest(c)
 	return true, ""
