Close a connection after its response where its slot was wanted as the request came

Cause: an idle connection that is to be closed for a new client withdraws from that if a request has arrived (downstream.go). A client that pipelines without a pause always has one, so that its connection is never closed, and new clients wait in the backlog while all slots are held so.

Change: the response to the request that crossed the close carries Connection: close, and the connection is closed after it. Requests behind it are unread, and their client sends them again.

--- a/internal/sidecar/client_conn.go
+++ b/internal/sidecar/client_conn.go
@@ -54,6 +54,8 @@
 	evicted        bool      // to be closed unless the rest of its request arrives first
 	holdsMemory    bool      // for the request that it receives
 	awaitsMemory   bool      // likewise; it reads nothing meanwhile
+	// closeAfterResponse is set if a close was requested just as a request arrived.
+	closeAfterResponse bool
 }
 
 // reserve reserves memory for the request that is being received, up to its read deadline. While it waits, it has slower requests
--- a/internal/sidecar/descriptors_test.go
+++ b/internal/sidecar/descriptors_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"testing"
@@ -110,3 +111,38 @@
 		t.Logf("%s: %d calls", name, maxOpen)
 	}
 }
+
+// Guards against new clients that get no answer because others pipeline requests without a pause, so that no connection is ever seen
+// idle: where slots are short, a connection must be closed after a response, though more of its input is unread.
+func TestPipeliningClientsMakeRoomForOthers(t *testing.T) {
+	s, _ := startWithRecordingServer(t, func(s *Sidecar) { s.front.downstream.maxConns = 2 * evictionHeadroom })
+	addr := s.listener.Addr().String()
+	for range 4 * evictionHeadroom {
+		go func() {
+			for t.Context().Err() == nil {
+				c, err := net.Dial("tcp", addr)
+				if err != nil {
+					return
+				}
+				go io.Copy(io.Discard, c)
+				for err == nil && t.Context().Err() == nil {
+					_, err = fmt.Fprint(c, "GET /-/ready HTTP/1.1\r\n\r\n")
+				}
+				c.Close()
+			}
+		}()
+	}
+	eventually(t, "pipelining clients on all connections", func() bool {
+		s.front.downstream.mu.Lock()
+		defer s.front.downstream.mu.Unlock()
+		return s.front.downstream.openConns >= s.front.downstream.maxConns
+	})
+	eventually(t, "a request served", func() bool { // a connection may be closed unread, then the client sends the request again
+		c := dial(t, s)
+		defer c.Close()
+		c.send("GET", "read", "", "Connection: close")
+		c.SetReadDeadline(time.Now().Add(testTimeout))
+		res, err := http.ReadResponse(c.reader, nil)
+		return err == nil && res.StatusCode == 200
+	})
+}
--- a/internal/sidecar/downstream.go
+++ b/internal/sidecar/downstream.go
@@ -279,12 +279,21 @@
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
 	if c.closeRequested || c.evicted {
+		c.closeAfterResponse = c.closeAfterResponse || c.closeRequested
 		c.closeRequested, c.evicted = false, false
 		cs.closing--
 	}
 	cs.move(c, to)
 }
 
+// closesAfterResponse reports whether a connection is to be closed after the response to its current request: its slot was wanted
+// when the request arrived. A client that pipelines without a pause would otherwise keep the slot for ever.
+func (cs *downstream) closesAfterResponse(c *downstreamConn) bool {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	return c.closeAfterResponse
+}
+
 // drain closes idle connections until none are left or the deadline passes. A connection that is receiving a request
 // is kept, as the request will be accepted and answered. Draining does not wait for a connection that has not been
 // admitted yet.
--- a/internal/sidecar/front.go
+++ b/internal/sidecar/front.go
@@ -111,7 +111,7 @@
 
 // respond writes the final response to the request m and reports whether the connection stays open. If not, it returns why.
 func (f *front) respond(c *downstreamConn, m *message, r *response) (keepAlive bool, reason eventReason) {
-	keepAlive = m.keepAlive() && !f.closeAfterResponse.Load() && r.status/100 != 4
+	keepAlive = m.keepAlive() && !f.closeAfterResponse.Load() && !f.downstream.closesAfterResponse(c) && r.status/100 != 4
 	err := c.writeResponse(r, !keepAlive)
 	r.memory.release()
 	if err != nil {
