Count the time of a request that waits for memory from when the wait began

Cause: a large request that waits for memory lies in the kernel's buffer meanwhile.

Change: the time of such a request counts from the beginning of the wait, the earliest time at which it may have been complete.

--- a/internal/sidecar/client_conn.go
+++ b/internal/sidecar/client_conn.go
@@ -42,6 +42,9 @@
 	reader *bufio.Reader // reads from input
 	readBy time.Time     // read deadline of the request that is being received
 	memory *reservation  // of the request that is being received or answered
+	// waitedSince is when the request that is being received began to wait for memory; zero if it did not wait. From then on it
+	// may have been complete, unread.
+	waitedSince time.Time
 
 	idOwner     idOwner       // owned by the loop
 	unforwarded *rate.Limiter // of requests that are answered without an attempt; nil = there were none
@@ -66,6 +69,7 @@
 		ctx, cancel := context.WithDeadline(context.Background(), c.readBy)
 		defer cancel()
 		cs.setMemoryState(c, false, true)
+		c.waitedSince = time.Now()
 		c.memory, err = cs.requestMemory.reserveEvicting(ctx, bytes, cs.stallTime, cs.evictHolders)
 	}
 	cs.setMemoryState(c, c.memory != nil, false)
@@ -86,7 +90,15 @@
 // releaseMemory returns the memory of a request that has been answered.
 func (c *downstreamConn) releaseMemory() {
 	c.memory.release()
-	c.memory = nil
+	c.memory, c.waitedSince = nil, time.Time{}
+}
+
+// requestArrivedAt returns when the last byte of the request that has been read arrived, or the earliest time at which it may have.
+func (c *downstreamConn) requestArrivedAt() time.Time {
+	if !c.waitedSince.IsZero() {
+		return c.waitedSince
+	}
+	return c.input.deliveredAt
 }
 
 // hasUnread reports, without blocking, whether there are bytes that have not been read.
--- a/internal/sidecar/front.go
+++ b/internal/sidecar/front.go
@@ -167,7 +167,7 @@
 		responses <- r
 	}
 	readAt := f.loop.clockMS(time.Now())
-	request.setDeadline(f.loop.clockMS(c.input.deliveredAt))
+	request.setDeadline(f.loop.clockMS(c.requestArrivedAt()))
 	f.downstream.beginRequest(c)
 	c.SetReadDeadline(time.Time{})
 	switch err := c.input.readAheadArrived(); {
--- a/internal/sidecar/unread_input_test.go
+++ b/internal/sidecar/unread_input_test.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"strings"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"forkline"
@@ -128,6 +127,28 @@
 	expectMemoryReturned(t, s)
 }
 
+// expectDeadline waits until the request with the given ID is open, and checks that it may be answered for no longer than the given
+// time after it was sent.
+func expectDeadline(t *testing.T, f *front, id string, sentAt time.Time, timeout time.Duration) {
+	t.Helper()
+	for range 1000 {
+		deadline := time.Time{}
+		f.loop.postAndWait(func() {
+			if c := f.loop.callsByID[id]; c != nil {
+				deadline = f.loop.timeAt(c.event.Deadline)
+			}
+		})
+		if !deadline.IsZero() {
+			if d := deadline.Sub(sentAt); d > timeout {
+				t.Errorf("the request may be answered until %v after it was sent, want %v at most", d, timeout)
+			}
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+	t.Error("the request is not open")
+}
+
 // Guards against a deadline that grows: the time of a pipelined request counts from its last byte, not from the response to the
 // request before it.
 func TestPipelinedRequestKeepsItsDeadline(t *testing.T) {
@@ -135,36 +156,31 @@
 		local, remote := net.Pipe()
 		defer local.Close()
 		go f.serveConn(f.downstream.admit(remote))
-		deadlines := make(chan time.Duration, 10)
 		sentAt := time.Now()
 		go func() {
-			for _, id := range []string{"first", "second"} { // the first is refused after 1 s, as there is no list
-				fmt.Fprintf(local, "GET /read/x HTTP/1.1\r\nX-Class: read\r\nX-Request-Id: %s\r\nX-Deadline: 1\r\n\r\n", id)
-			}
-		}()
-		go func() {
-			for {
-				time.Sleep(10 * time.Millisecond)
-				f.loop.postAndWait(func() {
-					for _, c := range f.loop.calls {
-						if c.id == "second" {
-							deadlines <- f.loop.timeAt(c.event.Deadline).Sub(sentAt)
-						}
-					}
-				})
-				if len(deadlines) > 0 || time.Since(sentAt) > 3*time.Second {
-					return
-				}
+			for i, id := range []string{"first", "second"} { // the first is refused at its deadline, as there is no list
+				fmt.Fprintf(local, "GET /read/x HTTP/1.1\r\nX-Class: read\r\nX-Request-Id: %s\r\nX-Deadline: %v\r\n\r\n", id, 0.5+float64(i))
 			}
 		}()
 		go io.Copy(io.Discard, local)
-		time.Sleep(4 * time.Second)
-		synctest.Wait()
-		if len(deadlines) > 0 {
-			if d := <-deadlines; d > time.Second {
-				t.Errorf("the second request may be answered until %v after it was sent, want 1 s at most", d)
-			}
-		}
+		expectDeadline(t, f, "second", sentAt, 1500*time.Millisecond)
+	})
+}
+
+// Guards against the same while a request waits, unread, for memory.
+func TestRequestThatWaitedForMemoryKeepsItsDeadline(t *testing.T) {
+	withoutSockets(t, func(t *testing.T, f *front) {
+		held, _ := f.downstream.requestMemory.tryReserve(f.downstream.requestMemory.limit)
+		local, remote := net.Pipe()
+		defer local.Close()
+		go f.serveConn(f.downstream.admit(remote))
+		sentAt := time.Now()
+		go fmt.Fprintf(local, "POST /pay/x HTTP/1.1\r\nX-Class: pay\r\nX-Request-Id: large\r\nX-Deadline: 1\r\nContent-Length: %d\r\n\r\n%s",
+			maxBodyBytes, strings.Repeat("x", maxBodyBytes))
+		go io.Copy(io.Discard, local)
+		time.Sleep(500 * time.Millisecond)
+		held.release()
+		expectDeadline(t, f, "large", sentAt, time.Second)
 	})
 }
 
