Bound a list of discovery by a part of limits.memory_mb

Cause, on a path beside the one that took the process over its limit: objectReader (discovery.go) accepted an object of 8 MB whatever memory_mb was, and a list takes many times its text while it is decoded and applied. At 32 MB a list of 60,000 endpoints, 5 MB of text, took a real process to 96 MB.

Change: an object has at most a sixteenth of memory_mb, 2 MB at 32 MB, and 8 MB as before; over it ListTooLargeError says what to do, the watch ends and the list before stays in use.

--- a/cmd/forkline/memory_test.go
+++ b/cmd/forkline/memory_test.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -195,3 +196,35 @@
 		}
 	}
 }
+
+// Guards against the same by discovery: a list that the least memory of the pages does not hold must be rejected, and the sidecar must go
+// on with the list it has. A list of the largest fleet, 3,200 endpoints, must be accepted.
+func TestMemoryStaysUnderLimitWithLargeList(t *testing.T) {
+	const memoryMB, largestFleet, tooMany = 32, 3200, 60000
+	for name, count := range map[string]int{"largest fleet": largestFleet, "too large": tooMany} {
+		t.Run(name, func(t *testing.T) {
+			listed, cached := newEndpoint(t, 0), newEndpoint(t, 0)
+			addrs := slices.Repeat([]string{listed.addr}, count)
+			disc, watches := newFakeDiscovery(t, func() string { return listJSON(2, addrs...) })
+			p, addr, _ := startWithLimits(t, memoryMB, 256, 256, map[string]any{
+				"discovery": disc.addr, "known": json.RawMessage(listJSON(1, cached.addr)), "settings": settingsFor("on_request"),
+			})
+			id := 0
+			served := func() bool { id++; return sendRead(addr, fmt.Sprint(id)) == 200 }
+			if count == tooMany {
+				eventually(t, "a second watch after the list was rejected", func() bool { return watches.Load() >= 2 })
+				listed.stop()
+				eventually(t, "a request served by the list before", served)
+			} else {
+				eventually(t, "a watch", func() bool { return watches.Load() >= 1 })
+				cached.stop()
+				eventually(t, "a request served by the new list", served)
+			}
+			peak := peakMemory(t, p)
+			t.Logf("peak %d KB of %d KB", peak, memoryMB<<10)
+			if peak >= memoryMB<<10 {
+				t.Errorf("peak memory %d KB, the limit is %d KB", peak, memoryMB<<10)
+			}
+		})
+	}
+}
--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -24,8 +25,23 @@
 const (
 	defaultCachedListDelay = time.Second // how long a new process waits for discovery before it uses the initial list
 	maxObjectBytes         = 8 << 20     // limit for one JSON object of a watch, in bytes
+	objectMemoryShare      = 1.0 / 16    // of the memory limit, for the same; a list takes several times its text
 )
 
+// ListTooLargeError reports a list that does not fit into the memory limit. The list before it stays in use.
+type ListTooLargeError struct {
+	Limit int // bytes
+}
+
+func (e *ListTooLargeError) Error() string {
+	return fmt.Sprintf("list: over %d bytes: raise limits.memory_mb, or have discovery serve shorter lists", e.Limit)
+}
+
+// maxListBytes returns the limit for one JSON object of a watch under the given memory limit.
+func maxListBytes(memoryMB int) int {
+	return min(maxObjectBytes, int(objectMemoryShare*float64(cmp.Or(memoryMB, defaultMemoryMB))*(1<<20)))
+}
+
 // List is a message of discovery: a full list or changes to it.
 type List struct {
 	Rev     int64    `json:"rev"` // version of the list
@@ -140,6 +156,7 @@
 // decides when to call; if it is pushed, the Watcher does.
 type discovery struct {
 	policy     listwatch.Policy
+	maxObject  int                                             // bytes; see maxListBytes
 	onList     func(List)                                      // receives each list or list change
 	onFailed   func()                                          // called when the latest call failed or is overdue, or its watch broke
 	onAnswered func()                                          // called when a call is answered, even without a list; may be nil
@@ -305,7 +322,7 @@
 	}
 	// The error is ignored, as a superseded call is cancelled.
 	onActivity := func() { d.deliver(number, listwatch.EvActivity, func() {}) }
-	for reader := (&objectReader{r: bufio.NewReader(res.Body), onActivity: onActivity}); ; {
+	for reader := (&objectReader{r: bufio.NewReader(res.Body), limit: cmp.Or(d.maxObject, maxObjectBytes), onActivity: onActivity}); ; {
 		text, err := reader.next()
 		if err != nil {
 			return err
@@ -325,6 +342,7 @@
 // that a watch which delivers single bytes still times out.
 type objectReader struct {
 	r          *bufio.Reader
+	limit      int // bytes of one object
 	onActivity func()
 }
 
@@ -345,8 +363,8 @@
 			continue
 		case depth == 0 && b != '{':
 			return nil, errNoObject
-		case len(text) == maxObjectBytes:
-			return nil, errTooLarge
+		case len(text) == o.limit:
+			return nil, &ListTooLargeError{o.limit}
 		}
 		text = append(text, b)
 		switch {
--- a/internal/sidecar/response_log.go
+++ b/internal/sidecar/response_log.go
@@ -53,5 +53,5 @@
 		l.omitted.Add(1)
 		return
 	}
-	l.logger.Warn("invalid response", "addr", addr, "id", id, "err", err, "omitted", l.omitted.Swap(0))
+	l.logger.Warn("invalid response", "addr", addr, "id", truncate(id, maxLoggedID), "err", err, "omitted", l.omitted.Swap(0))
 }
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -80,7 +80,7 @@
 // newDiscovery connects discovery and the loop. Calls start with poll or follow.
 func newDiscovery(cfg *Config, l *loop) *discovery {
 	d := &discovery{
-		addr: cfg.Discovery, rev: cfg.InitialList.Rev, policy: listwatch.PushPolicy,
+		addr: cfg.Discovery, rev: cfg.InitialList.Rev, policy: listwatch.PushPolicy, maxObject: maxListBytes(cfg.MemoryMB),
 		random: rand.New(rand.NewPCG(cfg.Seed, 0)).Float64,
 		onList: func(list List) {
 			kind := forkline.ListDelta
