--- a/balancer.go
+++ b/balancer.go
@@ -182,9 +182,8 @@
 	if err := settings.validate(); err != nil {
 		return nil, fmt.Errorf("forkline: %w", err)
 	}
-	b := &Balancer{rng: stats.NewRandom(seed), now: now, sweepAt: math.Inf(1),
-		servers: map[uint32]*server{}, requests: map[uint32]*request{}}
-	b.retries.LeaveLate = true // the budget is a limit
+	b := &Balancer{rng: stats.NewRandom(seed), now: now, sweepAt: math.Inf(1), servers: map[uint32]*server{},
+		requests: map[uint32]*request{}, retries: stats.Window{LeaveLate: true}} // a budget is a limit
 	b.configure(settings)
 	if settings.PollList {
 		b.nextPollRound = pollRound
