Refuse a request that waits for memory where a new client needs its slot

Cause: requests that wait for memory make no progress by no fault of their own, so slowest passes them over. With all slots held by them, the accept loop waited for up to 2.2 s, and the small requests of other clients lay in the backlog. Found by reading the wait once more.

Change: where no slot is free and nothing else can be evicted, the request that has waited longest for memory is refused.

--- a/internal/sidecar/client_conn.go
+++ b/internal/sidecar/client_conn.go
@@ -56,7 +56,8 @@
 	closeRequested bool      // to be closed unless a request arrives first
 	evicted        bool      // to be closed unless the rest of its request arrives first
 	holdsMemory    bool      // for the request that it receives
-	awaitsMemory   bool      // likewise; it reads nothing meanwhile
+	// stopWaiting ends the wait of that request for memory, during which nothing is read; nil = it does not wait.
+	stopWaiting context.CancelFunc
 	// closeAfterResponse is set if a close was requested just as a request arrived.
 	closeAfterResponse bool
 }
@@ -68,11 +69,11 @@
 	if c.memory, ok = cs.requestMemory.tryReserve(bytes); !ok {
 		ctx, cancel := context.WithDeadline(context.Background(), c.readBy)
 		defer cancel()
-		cs.setMemoryState(c, false, true)
+		cs.setMemoryState(c, false, cancel)
 		c.waitedSince = time.Now()
 		c.memory, err = cs.requestMemory.reserveEvicting(ctx, bytes, cs.stallTime, cs.evictHolders)
 	}
-	cs.setMemoryState(c, c.memory != nil, false)
+	cs.setMemoryState(c, c.memory != nil, nil)
 	return err
 }
 
--- a/internal/sidecar/downstream.go
+++ b/internal/sidecar/downstream.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"container/list"
+	"context"
 	"errors"
 	"log/slog"
 	"net"
@@ -113,7 +114,7 @@
 // ensureEviction makes sure that a connection is being evicted. It returns how long to wait before checking again and
 // whether any connection can be evicted at all.
 func (cs *downstream) ensureEviction() (time.Duration, bool) {
-	if cs.closing > 0 || cs.evict() || cs.receiving.Len() > 0 {
+	if cs.closing > 0 || cs.evict() || cs.evictWaiting() || cs.receiving.Len() > 0 {
 		return cs.stallTime, true
 	}
 	return 0, false
@@ -132,6 +133,18 @@
 	return false
 }
 
+// evictWaiting evicts the connection whose request has waited for memory for the longest time. It returns false if there is none.
+func (cs *downstream) evictWaiting() bool {
+	for e := cs.receiving.Front(); e != nil; e = e.Next() {
+		if c := e.Value.(*downstreamConn); c.stopWaiting != nil {
+			c.stopWaiting()
+			cs.evictSlow(c)
+			return true
+		}
+	}
+	return false
+}
+
 // slowest returns the connection that has been receiving a request with no progress for the longest time, of those that may be
 // evicted and match; nil if there is none.
 func (cs *downstream) slowest(matches func(*downstreamConn) bool) *downstreamConn {
@@ -142,7 +155,7 @@
 		c := e.Value.(*downstreamConn)
 		at := c.input.lastProgress()
 		tooSlow := now.Sub(at) > cs.stallTime || now.Sub(c.listedSince) > cs.slowRequestTime
-		if tooSlow && !c.awaitsMemory && matches(c) && (slowest == nil || at.Before(progressAt)) && !c.hasUnread() {
+		if tooSlow && c.stopWaiting == nil && matches(c) && (slowest == nil || at.Before(progressAt)) && !c.hasUnread() {
 			slowest, progressAt = c, at
 		}
 	}
@@ -185,11 +198,12 @@
 	}
 }
 
-// setMemoryState records whether the request of a connection holds memory, or waits for it and so makes no progress.
-func (cs *downstream) setMemoryState(c *downstreamConn, holds, awaits bool) {
+// setMemoryState records whether the request of a connection holds memory, or waits for it and so makes no progress. stopWaiting
+// ends the wait; it is nil if there is none.
+func (cs *downstream) setMemoryState(c *downstreamConn, holds bool, stopWaiting context.CancelFunc) {
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
-	c.holdsMemory, c.awaitsMemory = holds, awaits
+	c.holdsMemory, c.stopWaiting = holds, stopWaiting
 }
 
 // requestClose has the goroutine of an idle connection close it. Only that goroutine can tell that no request has
--- a/internal/sidecar/downstream_test.go
+++ b/internal/sidecar/downstream_test.go
@@ -58,6 +58,34 @@
 	}
 }
 
+// Guards against new clients that wait behind large requests: while requests that wait for memory hold all slots, one of them must be
+// refused for a new client, whose request needs none.
+func TestRequestsThatWaitForMemoryMakeRoom(t *testing.T) {
+	s, _ := startWithRecordingServer(t, func(s *Sidecar) {
+		s.front.downstream.maxConns, s.front.requestTimeout = 2*evictionHeadroom, time.Hour
+		s.front.downstream.requestMemory.tryReserve(s.front.downstream.requestMemory.limit)
+	})
+	waiting := make([]*client, 2*evictionHeadroom)
+	for i := range waiting {
+		waiting[i] = dial(t, s)
+		waiting[i].id = fmt.Sprint(i)
+		waiting[i].send("POST", "pay", strings.Repeat("x", maxBodyBytes))
+	}
+	eventually(t, "requests that wait for memory on all connections", func() bool {
+		s.front.downstream.requestMemory.mu.Lock()
+		defer s.front.downstream.requestMemory.mu.Unlock()
+		return s.front.downstream.requestMemory.waiters.Len() == len(waiting)
+	})
+	c := dial(t, s)
+	c.send("GET", "read", "")
+	if status := c.readStatus(t); status != 200 {
+		t.Errorf("status %d", status)
+	}
+	if status := waiting[0].readStatus(t); status != statusRefused {
+		t.Errorf("status %d of the request that has waited longest, want a refusal", status)
+	}
+}
+
 // With the fewest descriptors of a deployment, 256, a request with the deadline of the protocol's example must have half of its time
 // left behind 420 clients that stop half-way.
 func TestStalledRequestsDelayOthersForAShortTime(t *testing.T) {
