Give each call of the laboratory a fresh ID

Cause: sendCalls (load.go) numbered its calls from 0 in each phase of a run, with one seed, so that the IDs of the phase before came again within seconds. The protocol has a fresh ID on every request.

Change: calls are numbered over the process.

--- a/cmd/forkline/soak_test.go
+++ b/cmd/forkline/soak_test.go
@@ -28,7 +28,7 @@
 //	go test ./cmd/forkline -run TestSoak -soak.seeds 50 -v
 
 var (
-	soakSeeds = flag.Int("soak.seeds", 2, "number of seeds that TestSoak runs")
+	soakSeeds = flag.Int("soak.seeds", 4, "number of seeds that TestSoak runs")
 	soakFirst = flag.Uint64("soak.first", 1, "first seed of TestSoak")
 )
 
--- a/internal/rig/load.go
+++ b/internal/rig/load.go
@@ -86,6 +86,10 @@
 // classByEffect maps the effect of a call to the class that the sidecars' settings give it.
 var classByEffect = map[string]string{"safe": "read", "keyed": "add", "unsafe": "pay"}
 
+// callCount numbers the calls of this process. Their IDs are fresh, as the protocol wants, also where a run sends several loads with
+// one seed.
+var callCount atomic.Uint64
+
 // sendCalls sends calls for the given duration and waits for the last answer. The load is open-loop: calls form a Poisson
 // process of rate calls a second, independent of earlier answers, and each goes to a random route.
 func sendCalls(ctx context.Context, rate float64, duration time.Duration, class string, seed uint64, routes ...*route) error {
@@ -97,7 +101,7 @@
 	var calls sync.WaitGroup
 	defer calls.Wait()
 	started := time.Now()
-	for at, n := time.Duration(0), 0; ; n++ {
+	for at := time.Duration(0); ; {
 		at += time.Duration(random.ExpFloat64() / rate * float64(time.Second))
 		if at >= duration {
 			return sleep(ctx, time.Until(started.Add(duration)))
@@ -106,7 +110,7 @@
 			return err
 		}
 		route := routes[random.IntN(len(routes))]
-		addr, id := route.nextAddr(), strconv.FormatUint(seed, 36)+"-"+strconv.Itoa(n)
+		addr, id := route.nextAddr(), strconv.FormatUint(seed, 36)+"-"+strconv.FormatUint(callCount.Add(1), 10)
 		select {
 		case slots <- struct{}{}:
 		case <-ctx.Done():
