Set the read deadline of a request before its connection may be evicted

Cause: awaitRequest put a connection on the list of those that receive a request, and serveConn set the read deadline after that. An eviction in between would have been overwritten, and the connection would have held its slot up to the request timeout. Found by reading; the window is a few instructions and was not forced. beginReading sets the deadline first. go test -race of internal/sidecar passes.

--- a/internal/sidecar/downstream.go
+++ b/internal/sidecar/downstream.go
@@ -257,7 +257,6 @@
 	if err != nil {
 		return cs.endOfRead(c, err, reasonIdleTimeout)
 	}
-	cs.moveFromEviction(c, cs.receiving)
 	return ""
 }
 
@@ -283,6 +282,14 @@
 	return c.closeRequested
 }
 
+// beginReading marks a connection as receiving a request, which has to be read by the given time. The deadline is set first, as an
+// eviction that follows interrupts the read by another one.
+func (cs *downstream) beginReading(c *downstreamConn, readBy time.Time) {
+	c.readBy = readBy
+	c.SetReadDeadline(readBy)
+	cs.moveFromEviction(c, cs.receiving)
+}
+
 // beginRequest marks a connection as having an open request, endRequest marks it as idle.
 func (cs *downstream) beginRequest(c *downstreamConn) { cs.moveFromEviction(c, nil) }
 func (cs *downstream) endRequest(c *downstreamConn)   { cs.moveFromEviction(c, cs.idle) }
--- a/internal/sidecar/front.go
+++ b/internal/sidecar/front.go
@@ -59,8 +59,7 @@
 		if !isFirst {
 			readBy = time.Now().Add(f.requestTimeout)
 		}
-		c.readBy = readBy
-		c.SetReadDeadline(readBy)
+		f.downstream.beginReading(c, readBy)
 		keepAlive, reason := f.serveRequest(c)
 		c.releaseMemory()
 		if !keepAlive {
