Read requests of test endpoints in one place

Four endpoints of cmd/forkline's tests had the same loop over the requests of a connection. answerRequests, writeOK and newEndpointWithBody serve them all; checks and behaviour are unchanged. An endpoint now drops a request whose body is cut, which only the soak did.

--- a/cmd/forkline/descriptors_test.go
+++ b/cmd/forkline/descriptors_test.go
@@ -146,20 +146,37 @@
 	s.conns = nil
 }
 
+// answerRequests passes each complete request of a connection to answer, until that returns false or the connection ends.
+func answerRequests(c net.Conn, answer func(*http.Request) (more bool)) {
+	for r := bufio.NewReader(c); ; {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, req.Body); err != nil || !answer(req) {
+			return
+		}
+	}
+}
+
+// writeOK writes a response with a body and reports whether that succeeded.
+func writeOK(c net.Conn, body string) bool {
+	_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	return err == nil
+}
+
 // newEndpoint starts an endpoint that answers every request after serviceTime.
 func newEndpoint(t *testing.T, serviceTime time.Duration) *fakeServer {
+	return newEndpointWithBody(t, serviceTime, "ok")
+}
+
+// newEndpointWithBody starts an endpoint that answers every request after serviceTime with the given body.
+func newEndpointWithBody(t *testing.T, serviceTime time.Duration, body string) *fakeServer {
 	return newFakeServer(t, func(c net.Conn) {
-		for r := bufio.NewReader(c); ; {
-			req, err := http.ReadRequest(r)
-			if err != nil {
-				return
-			}
-			io.Copy(io.Discard, req.Body)
+		answerRequests(c, func(*http.Request) bool {
 			time.Sleep(serviceTime)
-			if _, err := io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"); err != nil {
-				return
-			}
-		}
+			return writeOK(c, body)
+		})
 	})
 }
 
--- a/cmd/forkline/memory_test.go
+++ b/cmd/forkline/memory_test.go
@@ -1,14 +1,11 @@
 package main
 
 import (
-	"bufio"
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
 	"io"
 	"net"
-	"net/http"
 	"os"
 	"slices"
 	"strings"
@@ -92,24 +89,6 @@
 	},
 }
 
-// newLargeEndpoint starts an endpoint that answers every request after serviceTime with the largest body.
-func newLargeEndpoint(t *testing.T, serviceTime time.Duration) *fakeServer {
-	response := fmt.Appendf(nil, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", maxBody, bytes.Repeat([]byte("x"), maxBody))
-	return newFakeServer(t, func(c net.Conn) {
-		for r := bufio.NewReader(c); ; {
-			req, err := http.ReadRequest(r)
-			if err != nil {
-				return
-			}
-			io.Copy(io.Discard, req.Body)
-			time.Sleep(serviceTime)
-			if _, err := c.Write(response); err != nil {
-				return
-			}
-		}
-	})
-}
-
 // peakMemory returns the largest resident size of a process so far, in KB.
 func peakMemory(t *testing.T, p *os.Process) int {
 	t.Helper()
@@ -165,7 +144,7 @@
 			t.Run(fmt.Sprint(limits.memoryMB, " MB, ", limits.sockets, " descriptors/", name), func(t *testing.T) {
 				var addrs []string
 				for range 10 {
-					addrs = append(addrs, newLargeEndpoint(t, 300*time.Millisecond).addr)
+					addrs = append(addrs, newEndpointWithBody(t, 300*time.Millisecond, strings.Repeat("x", maxBody)).addr)
 				}
 				disc, _ := newFakeDiscovery(t, func() string { return "" })
 				p, addr, _ := startWithLimits(t, limits.memoryMB, limits.sockets, limits.sockets, map[string]any{
--- a/cmd/forkline/signals_test.go
+++ b/cmd/forkline/signals_test.go
@@ -79,16 +79,11 @@
 func newBlockingEndpoint(t *testing.T) (addr string, received chan struct{}, release chan struct{}) {
 	received, release = make(chan struct{}, 100), make(chan struct{})
 	return newFakeServer(t, func(c net.Conn) {
-		for r := bufio.NewReader(c); ; {
-			req, err := http.ReadRequest(r)
-			if err != nil {
-				return
-			}
-			io.Copy(io.Discard, req.Body)
+		answerRequests(c, func(*http.Request) bool {
 			received <- struct{}{}
 			<-release
-			io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
-		}
+			return writeOK(c, "ok")
+		})
 	}).addr, received, release
 }
 
--- a/cmd/forkline/soak_test.go
+++ b/cmd/forkline/soak_test.go
@@ -15,6 +15,7 @@
 	"os/exec"
 	"path/filepath"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -193,14 +194,7 @@
 func (s *soak) serveEndpoint(hangs bool, seed uint64) string {
 	var served atomic.Uint64
 	return newFakeServer(s.t, func(c net.Conn) {
-		for r := bufio.NewReader(c); ; {
-			req, err := http.ReadRequest(r)
-			if err != nil {
-				return
-			}
-			if _, err := io.Copy(io.Discard, req.Body); err != nil {
-				return // not complete, so it does not run
-			}
+		answerRequests(c, func(req *http.Request) bool { // only complete requests run
 			if req.Method == http.MethodPost {
 				s.mu.Lock()
 				s.runs[soakRun{req.Header.Get("X-Request-Id"), s.starts}]++
@@ -210,16 +204,13 @@
 			switch {
 			case hangs && n%7 == 0:
 				io.Copy(io.Discard, c)
-				return
+				return false
 			case n%23 == 0:
 				c.(*net.TCPConn).SetLinger(0)
-				return
-			}
-			body := make([]byte, (n*7919)%maxBody)
-			if _, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body); err != nil {
-				return
+				return false
 			}
-		}
+			return writeOK(c, strings.Repeat("x", int((n*7919)%maxBody)))
+		})
 	}).addr
 }
 
