Let recent IDs keep no closed connection in memory

The soak's clients keep their connections.

Change: the owner is allocated by itself, and refers to nothing.

Measured: TestRecentIDsKeepNoConnection finds the closed connection in memory without the change.

--- a/internal/sidecar/client_conn.go
+++ b/internal/sidecar/client_conn.go
@@ -46,7 +46,7 @@
 	// may have been complete, unread.
 	waitedSince time.Time
 
-	idOwner     idOwner       // owned by the loop
+	idOwner     *idOwner      // owned by the loop; recent IDs refer to it, and so must not refer to the connection
 	unforwarded *rate.Limiter // of requests that are answered without an attempt; nil = there were none
 
 	// The fields below are guarded by downstream.mu.
--- a/internal/sidecar/downstream.go
+++ b/internal/sidecar/downstream.go
@@ -103,7 +103,7 @@
 		cs.events.count(eventClose, reasonNoSlot, "")
 		return nil
 	}
-	c := &downstreamConn{Conn: conn}
+	c := &downstreamConn{Conn: conn, idOwner: &idOwner{}}
 	c.input = newClientInput(conn, cs.inputMemory, func() bool { return cs.resumeReading(c) })
 	c.reader = bufio.NewReader(c.input)
 	cs.move(c, cs.idle)
--- a/internal/sidecar/front.go
+++ b/internal/sidecar/front.go
@@ -176,7 +176,7 @@
 	case err != nil:
 		return response{}, reasonClientLeft
 	}
-	request.owner = &c.idOwner
+	request.owner = c.idOwner
 	request.clientGone, request.mayHideEnd = c.disconnected, c.input.mayHideEnd
 	f.loop.post(func() { f.loop.margin.observe(deadline.Intake, readAt); f.loop.accept(request) })
 	if c.awaitDisconnect() {
--- a/internal/sidecar/recent_ids_test.go
+++ b/internal/sidecar/recent_ids_test.go
@@ -5,9 +5,11 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"testing"
 	"testing/synctest"
 	"time"
+	"weak"
 
 	"forkline"
 )
@@ -164,3 +166,28 @@
 		})
 	})
 }
+
+// Guards against connections that stay in memory after they are closed: an ID that is kept must not keep the connection that it came on,
+// with its buffers.
+func TestRecentIDsKeepNoConnection(t *testing.T) {
+	withoutSockets(t, func(t *testing.T, f *front) {
+		closed := func() weak.Pointer[downstreamConn] {
+			_, remote := net.Pipe()
+			c := f.downstream.admit(remote)
+			f.loop.postAndWait(func() { f.loop.endedIDs.add("x", c.idOwner, f.loop.now()+f.loop.idRetention) })
+			f.downstream.remove(c)
+			return weak.Make(c)
+		}()
+		for range 3 {
+			runtime.GC()
+		}
+		if closed.Value() != nil {
+			t.Error("a closed connection is still in memory")
+		}
+		f.loop.postAndWait(func() {
+			if !f.loop.endedIDs.contains("x") {
+				t.Error("the ID is not kept")
+			}
+		})
+	})
+}
