--- a/internal/sidecar/memory.go
+++ b/internal/sidecar/memory.go
@@ -21,7 +21,7 @@
 	minReservableRequest = 2        // messages of the largest size that a budget holds, however small the memory limit is
 )
 
-// MemoryBudgetError reports that a message got no memory in time. The request did not run because of it.
+// MemoryBudgetError reports that a message got no memory in time. A request has not run because of it; that of a response may have.
 type MemoryBudgetError struct {
 	Requested, Used, Limit int64 // bytes
 }
