Read the body of a readiness check, so that it never runs as a request

What callers saw: an order that nobody placed.

Cause: serveRequest (internal/sidecar/front.go) answered a readiness check after its head and kept the connection open. The bytes of its body were then read as the next request.

Evidence: the record has one message of the peer and two answers on its connection, the second made for the ID in the body. Ruled out: input read twice (the order ran once) and an ambiguous length (Content-Length stood alone).

Change: the body of a readiness check is read like that of any request, within the same limits of size, time and memory. What cannot be read is answered with an error and its connection is closed.

Test: TestReadinessCheckBodyIsNotARequest failed before in its three cases with a body, and TestReadinessCheckWithUnreadableBodyIsRejected in two of three (200 in place of 413 and 400). With the change both pass 100 times with -race.

--- a/internal/sidecar/front.go
+++ b/internal/sidecar/front.go
@@ -68,7 +68,12 @@
 	}
 }
 
-// serveRequest reads one request, answers it and reports whether the connection stays open. If not, it returns why.
+// readinessCheck is the request line of a readiness check, which the sidecar answers itself.
+const readinessCheck = "GET /-/ready HTTP/1.1"
+
+// serveRequest reads one request, answers it and reports whether the connection stays open. If not, it returns why. A request is
+// answered only after its body has been read, whatever it asks for, or else its connection is closed: bytes that are left would be
+// taken for the next request.
 func (f *front) serveRequest(c *downstreamConn) (keepAlive bool, reason eventReason) {
 	memory := &messageMemory{reserve: func(bytes int64) (*reservation, error) {
 		err := f.downstream.reserve(c, bytes)
@@ -81,24 +86,20 @@
 	if m.length == lengthUnspecified { // a request without a length has no body
 		m.length = 0
 	}
-	if m.startLine == "GET /-/ready HTTP/1.1" {
+	if m.startLine == readinessCheck {
+		if _, err := readRequestBody(c, &m, memory, expectsContinue(&m)); err != nil {
+			return false, f.rejectUnreadable(c, err)
+		}
 		return f.respond(c, &m, &response{status: f.readyStatus(), noAttempt: true})
 	}
-	expectsContinue := m.length != 0 && m.hasToken("Expect", "100-continue")
+	clientWaits := expectsContinue(&m) // before the headers of the connection are removed
 	request, problem := f.parse(m)
 	if problem != nil {
 		f.events.count(eventReject, reasonRejected, m.header.Get("X-Request-Id"))
 		c.reject(problem.status, problem.reason)
 		return false, reasonRejected
 	}
-	if err := memory.settle(&m); err != nil {
-		return false, f.rejectUnreadable(c, err)
-	}
-	if expectsContinue {
-		c.SetWriteDeadline(time.Now().Add(writeTimeout))   // the deadline of the previous response may have passed
-		io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n") // a write error will show when reading the body
-	}
-	if request.outgoing.body, err = readBody(c.reader, m.length); err != nil {
+	if request.outgoing.body, err = readRequestBody(c, &m, memory, clientWaits); err != nil {
 		return false, f.rejectUnreadable(c, err)
 	}
 	r, reason := f.awaitResponse(c, request)
@@ -108,6 +109,22 @@
 	return f.respond(c, &m, &r)
 }
 
+// expectsContinue reports whether a client waits for an interim response before it sends the body of its request.
+func expectsContinue(m *message) bool { return m.length != 0 && m.hasToken("Expect", "100-continue") }
+
+// readRequestBody reads the body of the request m, for which it reserves memory. A client that waits for it gets an interim response
+// first.
+func readRequestBody(c *downstreamConn, m *message, memory *messageMemory, clientWaits bool) ([]byte, error) {
+	if err := memory.settle(m); err != nil {
+		return nil, err
+	}
+	if clientWaits {
+		c.SetWriteDeadline(time.Now().Add(writeTimeout))   // the deadline of the previous response may have passed
+		io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n") // a write error will show when reading the body
+	}
+	return readBody(c.reader, m.length)
+}
+
 // respond writes the final response to the request m and reports whether the connection stays open. If not, it returns why.
 func (f *front) respond(c *downstreamConn, m *message, r *response) (keepAlive bool, reason eventReason) {
 	keepAlive = m.keepAlive() && !f.closeAfterResponse.Load() && !f.downstream.closesAfterResponse(c) && r.status/100 != 4
--- a/internal/sidecar/readiness_test.go
+++ b/internal/sidecar/readiness_test.go
@@ -147,3 +147,60 @@
 		t.Errorf("a process with a cached list waits for %v", defaultCachedListDelay)
 	}
 }
+
+// Guards against requests that no client sent (issue 36, review/8): the body of a readiness check must not be read as the next request
+// of its connection.
+func TestReadinessCheckBodyIsNotARequest(t *testing.T) {
+	smuggled := "POST /pay/x HTTP/1.1\r\nHost: b\r\nX-Class: pay\r\nX-Request-Id: smuggled\r\nContent-Length: 0\r\n\r\n"
+	for name, message := range map[string]string{
+		"length":            fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(smuggled), smuggled),
+		"chunks":            fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(smuggled), smuggled),
+		"chunks and a tail": fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\nTail: x\r\n\r\n", len(smuggled), smuggled),
+		"no body":           "\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, received := startWithRecordingServer(t, nil)
+			eventually(t, "readiness", func() bool { return isReady(s) })
+			c := dial(t, s)
+			io.WriteString(c, "GET /-/ready HTTP/1.1\r\nHost: b\r\n"+message)
+			if status := c.readStatus(t); status != http.StatusOK {
+				t.Errorf("status %d of the readiness check", status)
+			}
+			c.id = "own"
+			c.send("POST", "pay", "")
+			if status := c.readStatus(t); status != http.StatusOK {
+				t.Errorf("status %d of the request behind the readiness check", status)
+			}
+			for len(received) > 0 { // what came before the request that has been answered
+				if id := <-received; id != "own" {
+					t.Errorf("the endpoint received request %q, which no client sent", id)
+				}
+			}
+		})
+	}
+}
+
+// A readiness check whose body is over the limit, or does not arrive whole, must not be answered with 200, and its connection must
+// be closed.
+func TestReadinessCheckWithUnreadableBodyIsRejected(t *testing.T) {
+	for name, tc := range map[string]struct {
+		message string
+		status  int
+	}{
+		"too long":          {fmt.Sprintf("Content-Length: %d\r\n\r\n", maxBodyBytes+1), http.StatusRequestEntityTooLarge},
+		"malformed chunk":   {"Transfer-Encoding: chunked\r\n\r\nx\r\n", http.StatusBadRequest},
+		"ambiguous lengths": {"Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", http.StatusBadRequest},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, _ := startWithRecordingServer(t, nil)
+			c := dial(t, s)
+			io.WriteString(c, "GET /-/ready HTTP/1.1\r\nHost: b\r\n"+tc.message)
+			if status := c.readStatus(t); status != tc.status {
+				t.Errorf("status %d, want %d", status, tc.status)
+			}
+			if rest := c.readUntilClose(t); rest != "" {
+				t.Errorf("%q follows the rejection", rest)
+			}
+		})
+	}
+}
