Close a connection whose response announces a body that is not read

What callers would have seen: foreign bytes as the response to their request.

Cause: readFinalResponse (internal/sidecar/message.go) returns a 204 or 304 without reading a body, also where its headers announce one, and the connection went back into the pool. Late bytes of that body came under the next request. An interim response was skipped without the body that it announced, whose bytes were then read as the final response.

Change: such a 204 or 304 ends its connection. An interim response that announces a body is malformed, so its request may have run.

Test: TestUnreadResponseBodyIsNotAResponse failed before in its three cases with a body, where the second request got the stray bytes with status 200; the new row of TestOutcomes failed too. Both pass 30 times with -race.

--- a/internal/sidecar/message.go
+++ b/internal/sidecar/message.go
@@ -31,6 +31,7 @@
 	errInvalidLength = errors.New("the length cannot be read")
 	errTooLarge      = errors.New("the message is over the limit")
 	errNoLength      = errors.New("the response states no length")
+	errInterimBody   = errors.New("an interim response has a body")
 )
 
 // isMalformed reports whether a message could not be read because of its content, and not because its connection ended
@@ -52,8 +53,13 @@
 	header    http.Header
 	length    int64 // of the body in bytes, or lengthChunked or lengthUnspecified
 	memory    int64 // bytes that the head takes
+	// endsConnection is set if no other message can be read after it, as its body is not read.
+	endsConnection bool
 }
 
+// announcesBody reports whether a body follows the head by its headers.
+func (m *message) announcesBody() bool { return m.length != 0 && m.length != lengthUnspecified }
+
 // readMessage reads and validates the head of a message. It consumes no byte of the body.
 func readMessage(r *bufio.Reader, memory *messageMemory) (message, error) {
 	text, fields, err := readUntilBlankLine(r, memory)
@@ -184,9 +190,12 @@
 			return 0, m, nil, errMalformedHead
 		case status < 100 || status == http.StatusSwitchingProtocols:
 			return 0, m, nil, errMalformedHead
+		case status < 200 && m.announcesBody():
+			return 0, m, nil, errInterimBody
 		case status < 200:
 			continue
 		case status == http.StatusNoContent || status == http.StatusNotModified:
+			m.endsConnection = m.announcesBody() // these have no body, whatever the headers say
 			return status, m, nil, nil
 		case m.length == lengthUnspecified:
 			return 0, m, nil, errNoLength
@@ -200,9 +209,9 @@
 	return 0, m, nil, errTooLarge
 }
 
-// keepAlive reports whether the peer keeps the connection open after this message.
+// keepAlive reports whether another message can follow this one on its connection.
 func (m *message) keepAlive() bool {
-	return !strings.Contains(m.startLine, "HTTP/1.0") && !m.hasToken("Connection", "close")
+	return !m.endsConnection && !strings.Contains(m.startLine, "HTTP/1.0") && !m.hasToken("Connection", "close")
 }
 
 // hasToken reports whether a comma-separated header contains a token.
--- a/internal/sidecar/outcome_test.go
+++ b/internal/sidecar/outcome_test.go
@@ -150,6 +150,7 @@
 		{"head without end", "HTTP/1.1 200 OK\r\n" + strings.Repeat("X-Pad: p\r\n", maxHeadBytes), forkline.Reset},
 		{"truncated body with X-Not-Run", "HTTP/1.1 503 U\r\nX-Not-Run: 1\r\nContent-Length: 9\r\n\r\nhi", forkline.Reset},
 		{"interim responses", "HTTP/1.1 100 C\r\n\r\nHTTP/1.1 103 E\r\nLink: </a>\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi", forkline.OK},
+		{"interim response with a body", "HTTP/1.1 103 E\r\nContent-Length: 40\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi", forkline.Reset},
 		{"too many interim responses", strings.Repeat("HTTP/1.1 103 E\r\n\r\n", maxInterimResponses+1), forkline.Reset},
 		{"duplicate response", strings.Repeat("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi", 2), forkline.OK},
 	} {
--- a/internal/sidecar/upstream_test.go
+++ b/internal/sidecar/upstream_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"runtime"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -59,6 +60,42 @@
 	}
 }
 
+// Guards against foreign bytes that are taken for a response (issue 36, related to review/8): a connection must not be used again
+// after a response that announces a body which is not read, as its bytes may arrive under the next request.
+func TestUnreadResponseBodyIsNotAResponse(t *testing.T) {
+	const stray, own = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nown"
+	for name, head := range map[string]string{
+		"204 with a length": fmt.Sprintf("HTTP/1.1 204 N\r\nContent-Length: %d\r\n\r\n", len(stray)),
+		"204 in chunks":     "HTTP/1.1 204 N\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"304 with a length": fmt.Sprintf("HTTP/1.1 304 N\r\nContent-Length: %d\r\n\r\n", len(stray)),
+		"204 without":       "HTTP/1.1 204 N\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			var requests atomic.Int32
+			u := newTestUpstream(startServer(t, func(n int, c net.Conn, _ *http.Request) bool {
+				switch first := requests.Add(1) == 1; {
+				case first:
+					io.WriteString(c, head)
+				case n == 0 && name != "204 without":
+					io.WriteString(c, stray) // the body of the first response, under the second request
+				default:
+					io.WriteString(c, own)
+				}
+				return true
+			}).Addr().String(), 4)
+			if got, _ := doAttempt(u, testTimeout); got != forkline.Error {
+				t.Errorf("outcome %v of the first request, want an error", got)
+			}
+			if got, r := doAttempt(u, testTimeout); got != forkline.OK || string(r.body) != "own" {
+				t.Errorf("outcome %v with response %+v to the second request, want its own", got, r)
+			}
+			if u.open() != 1 {
+				t.Errorf("%d connections are open, want 1", u.open())
+			}
+		})
+	}
+}
+
 // An endpoint may close an idle connection at any time. A request must not be written to a closed connection, as that would
 // count as a reset.
 func TestClosedIdleConnectionIsNotUsed(t *testing.T) {
