Forward a response without a length that ends in order

Cause: readFinalResponse (internal/sidecar/message.go) returned errNoLength for each final response without a length, before it looked at how the stream ends; readResponse made a Reset of it.

Evidence: with the same bytes the outcome is a Reset before the end of the stream has been read (virtual time). Ruled out: a malformed head (the same head with a length is served) and a reset by the close of the endpoint.

Change: the body is read up to the end of the stream, within the limits of size, memory and time. An end in order completes the response, whatever its status; a reset, the deadline or too many bytes do not, and the request may have run. The connection is not used again. What was reserved for a body of unknown length is returned but for its size once it has been read.

--- a/internal/sidecar/disconnect_test.go
+++ b/internal/sidecar/disconnect_test.go
@@ -580,10 +580,14 @@
 func TestResetIsNotEndOfResponse(t *testing.T) {
 	for name, text := range map[string]string{
 		"nothing yet": "", "no length": "HTTP/1.1 200 OK\r\n\r\nhi", "in the head": "HTTP/1.1 200 OK\r\nCont",
-		"in the body":    "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhi",
-		"in a chunk":     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhi",
-		"between chunks": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n",
-		"half a refusal": "HTTP/1.1 503 U\r\nX-Not-Run: 1\r\nContent-Length: 5\r\n\r\n",
+		"in the body":            "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhi",
+		"in a chunk":             "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhi",
+		"between chunks":         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n",
+		"half a refusal":         "HTTP/1.1 503 U\r\nX-Not-Run: 1\r\nContent-Length: 5\r\n\r\n",
+		"no length, no body yet": "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n",
+		"no length, HTTP/1.0":    "HTTP/1.0 200 OK\r\n\r\nhi",
+		"no length, a refusal":   "HTTP/1.1 503 U\r\nX-Not-Run: 1\r\n\r\n",
+		"no length, long":        "HTTP/1.1 200 OK\r\n\r\n" + strings.Repeat("x", maxBodyBytes),
 	} {
 		ln := startServer(t, func(_ int, c net.Conn, _ *http.Request) bool {
 			io.WriteString(c, text)
--- a/internal/sidecar/memory.go
+++ b/internal/sidecar/memory.go
@@ -178,10 +178,7 @@
 
 // bodyMemory returns the memory of a body with the given value of message.length.
 func bodyMemory(length int64) int64 {
-	switch length {
-	case lengthUnspecified:
-		return 0
-	case lengthChunked:
+	if length == lengthUnspecified || length == lengthChunked {
 		return maxBodyBytes * 3 / 2
 	}
 	return min(length, maxBodyBytes)
@@ -215,6 +212,13 @@
 	return err
 }
 
+// keep returns all of the memory but the given bytes, which the message takes after it has been read.
+func (m *messageMemory) keep(bytes int64) {
+	if m != nil {
+		m.held.shrink(bytes)
+	}
+}
+
 // reservation is a part of a memoryBudget. Its owner releases it; nil is the reservation of a message that needs none.
 type reservation struct {
 	budget *memoryBudget
--- a/internal/sidecar/memory_test.go
+++ b/internal/sidecar/memory_test.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"fmt"
@@ -118,6 +119,9 @@
 		"served, left":      {pay, large, true},
 		"not answered":      {pay, "", true},
 		"cut response":      {pay, large[:len(large)-1], false},
+		"no length":         {pay, "HTTP/1.1 200 OK\r\n\r\n" + body, false},
+		"no length, left":   {pay, "HTTP/1.1 200 OK\r\n\r\n" + body, true},
+		"no length, long":   {pay, "HTTP/1.1 200 OK\r\n\r\n" + body + "x", false},
 		"many fields":       {strings.Replace(pay, "Host: b\r\n", "Host: b\r\n"+manyFields, 1), large, false},
 		"no such class":     {strings.ReplaceAll(pay, "pay", "none") + manyFields, large, false},
 		"half a request":    {pay[:len(pay)/2], large, true},
@@ -146,6 +150,30 @@
 	}
 }
 
+// A response without a length must reserve the memory of the largest one before its body is read, and must keep no more than it takes.
+func TestResponseWithoutLengthReservesMemory(t *testing.T) {
+	for name, body := range map[string]string{"short": "hi", "of the largest size": strings.Repeat("x", maxBodyBytes)} {
+		t.Run(name, func(t *testing.T) {
+			b := newMemoryBudget(1, 0)
+			memory := &messageMemory{reserve: func(bytes int64) (*reservation, error) { return b.reserve(t.Context(), bytes) }}
+			_, _, got, err := readFinalResponse(bufio.NewReader(strings.NewReader("HTTP/1.1 200 OK\r\n\r\n"+body)), memory)
+			if err != nil || string(got) != body {
+				t.Fatalf("%d bytes and error %v", len(got), err)
+			}
+			if b.peak < maxBodyBytes {
+				t.Errorf("at most %d bytes were reserved", b.peak)
+			}
+			if b.used < int64(cap(got)) || b.used > int64(cap(got)+unreservedBytes) {
+				t.Errorf("%d bytes are reserved for a body in a buffer of %d", b.used, cap(got))
+			}
+			memory.held.release()
+			if b.used != 0 {
+				t.Errorf("%d bytes are reserved at the end", b.used)
+			}
+		})
+	}
+}
+
 // Guards against memory that one kind of client takes from all others: while requests that have stopped half-way hold all of it, a
 // large request that is complete must get its share at once, and the stopped ones must be refused.
 func TestStoppedLargeRequestsGiveWay(t *testing.T) {
--- a/internal/sidecar/message.go
+++ b/internal/sidecar/message.go
@@ -30,7 +30,6 @@
 	errMalformedHead = errors.New("the head cannot be read")
 	errInvalidLength = errors.New("the length cannot be read")
 	errTooLarge      = errors.New("the message is over the limit")
-	errNoLength      = errors.New("the response states no length")
 	errInterimBody   = errors.New("an interim response has a body")
 )
 
@@ -44,7 +43,7 @@
 // Special values of message.length.
 const (
 	lengthChunked     = -1
-	lengthUnspecified = -2
+	lengthUnspecified = -2 // no body in a request; all up to the end of the connection in a response (RFC 9112, 6.3)
 )
 
 // message is the head of a request or response.
@@ -53,11 +52,11 @@
 	header    http.Header
 	length    int64 // of the body in bytes, or lengthChunked or lengthUnspecified
 	memory    int64 // bytes that the head takes
-	// endsConnection is set if no other message can be read after it, as its body is not read.
+	// endsConnection is set if no other message can be read after it: its body ends with the connection, or is not read.
 	endsConnection bool
 }
 
-// announcesBody reports whether a body follows the head by its headers.
+// announcesBody reports whether the headers announce a body.
 func (m *message) announcesBody() bool { return m.length != 0 && m.length != lengthUnspecified }
 
 // readMessage reads and validates the head of a message. It consumes no byte of the body.
@@ -135,12 +134,15 @@
 }
 
 // readBody reads the complete body of a message, for which memory has been reserved. It reads nothing if the announced length
-// exceeds the limit.
+// exceeds the limit. A body of unspecified length ends where the peer ends the stream in order; a reset is an error, like any other
+// end of the connection.
 func readBody(r *bufio.Reader, length int64) ([]byte, error) {
-	if length > maxBodyBytes {
+	switch {
+	case length > maxBodyBytes:
 		return nil, errTooLarge
-	}
-	if length == lengthChunked {
+	case length == lengthUnspecified:
+		return readUpTo(r, maxBodyBytes)
+	case length == lengthChunked:
 		body, err := readUpTo(httputil.NewChunkedReader(r), maxBodyBytes)
 		if err == nil {
 			_, _, err = readUntilBlankLine(r, nil) // discard trailers
@@ -175,8 +177,8 @@
 	}
 }
 
-// readFinalResponse reads the complete final response of an endpoint. A response without a stated length is an error,
-// since truncation could not be detected.
+// readFinalResponse reads the complete final response of an endpoint. One without a length is complete when the endpoint has ended
+// the stream in order.
 func readFinalResponse(r *bufio.Reader, memory *messageMemory) (status int, m message, body []byte, err error) {
 	for range maxInterimResponses {
 		if m, err = readMessage(r, memory); err != nil {
@@ -197,13 +199,13 @@
 		case status == http.StatusNoContent || status == http.StatusNotModified:
 			m.endsConnection = m.announcesBody() // these have no body, whatever the headers say
 			return status, m, nil, nil
-		case m.length == lengthUnspecified:
-			return 0, m, nil, errNoLength
 		}
+		m.endsConnection = m.length == lengthUnspecified
 		if err = memory.settle(&m); err != nil {
 			return 0, m, nil, err
 		}
 		body, err = readBody(r, m.length)
+		memory.keep(m.memory + int64(cap(body)))
 		return status, m, body, err
 	}
 	return 0, m, nil, errTooLarge
--- a/internal/sidecar/outcome.go
+++ b/internal/sidecar/outcome.go
@@ -33,7 +33,7 @@
 	// A request whose response cannot be read completely may have run, whatever its status line says.
 	status, m, body, err := readFinalResponse(c.reader, memory)
 	if err != nil {
-		if isMalformed(err) && err != errNoLength { // HTTP allows a response without a length
+		if isMalformed(err) {
 			a.responseErr = &responseError{cause: err}
 		}
 		return errorOutcome(a, err, forkline.Reset), nil, false
