Tell a silent watch from one that has ended, in the log and to the module

The module got the same event for both.

Change: the Watcher reports for how long a watch was silent. The log says so (SilentWatchError), and the module gets the time in Elapsed of ListFailed, which it does not use yet.

Tests: TestSilenceIsReported, TestSilentWatchIsLogged.

--- a/api.go
+++ b/api.go
@@ -175,7 +175,7 @@
 	EvResponseStarted                      // Request, Attempt, Server, Elapsed: the first byte of the response arrived
 	EvOutcome                              // Request, Attempt, Server, Outcome, Elapsed, ServiceTime, NewConnection, RequestDone
 	EvClientGone                           // Request: the client has disconnected or timed out
-	EvList                                 // List, Servers
+	EvList                                 // List, Servers, Elapsed
 	EvTimer                                // Token
 	EvProbeResult                          // Server, Outcome, Elapsed, Report, ReportLen
 	EvConnecting                           // Request, Attempt: the attempt waits for a new connection; optional
@@ -224,7 +224,7 @@
 	Token         uint64
 	Deadline      float64    // time at which the client gives up this call
 	WorkHint      float64    // expected work; 0 = unknown
-	Elapsed       float64    // time since the attempt or probe was sent
+	Elapsed       float64    // time since the attempt or probe was sent; ListFailed: how long the watch was silent
 	ServiceTime   float64    // part of Elapsed from the request's last byte to the response's first; 0 = not measured
 	NewConnection bool       // the attempt's connection was opened for it, which its server pays for too
 	Report        [4]float32 // load report of the server
--- a/internal/fleet/discovery.go
+++ b/internal/fleet/discovery.go
@@ -194,7 +194,7 @@
 				tr.watchedCall = 0
 			}
 		case listwatch.ActReportFailure:
-			f.event = forkline.Event{Kind: forkline.EvList, List: forkline.ListFailed}
+			f.event = forkline.Event{Kind: forkline.EvList, List: forkline.ListFailed, Elapsed: toMillis(toNanos(a.Silence))}
 			f.handleModuleEvent(t, &f.event)
 		}
 	}
--- a/internal/listwatch/listwatch.go
+++ b/internal/listwatch/listwatch.go
@@ -64,14 +64,15 @@
 // The kinds of action.
 const (
 	ActStartCall     ActionKind = iota + 1 // Call: start it at the current discovery address
-	ActCancelCall                          // Call: cancel it, answered or not; its EvCallEnded may or may not follow
-	ActReportFailure                       // Call: the latest call has failed or is overdue, and there is no watch at the current address
+	ActCancelCall                          // Call, Silence: cancel it, answered or not; its EvCallEnded may or may not follow
+	ActReportFailure                       // Call, Silence: the latest call has failed or is overdue, and there is no watch at the current address
 )
 
 // Action is one instruction of a Watcher to its host.
 type Action struct {
-	Kind ActionKind
-	Call int
+	Kind    ActionKind
+	Call    int
+	Silence time.Duration // for how long the watch has been silent, if that has ended it
 }
 
 // call is an unanswered call.
@@ -124,7 +125,7 @@
 			w.lastActivity = w.now
 		}
 	case EvCallEnded:
-		w.callEnded(ev.Call)
+		w.callEnded(ev.Call, 0)
 	case EvAddressChanged:
 		w.cancelCalls()
 		w.activeOutdated, w.callScheduled = w.activeCall != 0, false
@@ -167,8 +168,10 @@
 	return w.policy.CallTimeout
 }
 
-func (w *Watcher) emit(kind ActionKind, call int) {
-	w.actions = append(w.actions, Action{Kind: kind, Call: call})
+func (w *Watcher) emit(kind ActionKind, call int) { w.emitAfterSilence(kind, call, 0) }
+
+func (w *Watcher) emitAfterSilence(kind ActionKind, call int, silence time.Duration) {
+	w.actions = append(w.actions, Action{Kind: kind, Call: call, Silence: silence})
 }
 
 func (w *Watcher) startCall() {
@@ -191,44 +194,44 @@
 	w.latestCall, w.failureReported, w.callScheduled = number, false, false
 }
 
-// callEnded forgets a call. Only the end of the latest call is a failure; when an older one ends, another is in
-// flight.
-func (w *Watcher) callEnded(number int) {
+// callEnded forgets a call, which has ended after the given silence or for another reason. Only the end of the latest call is a
+// failure; when an older one ends, another is in flight.
+func (w *Watcher) callEnded(number int, silence time.Duration) {
 	if number == w.activeCall && number != 0 {
 		w.activeCall, w.activeOutdated = 0, false
 	} else if !w.removeCall(number) {
 		return
 	}
 	if number == w.latestCall {
-		w.reportFailure()
+		w.reportFailure(silence)
 	}
 }
 
 // reportFailure reports the failure of the latest call once. If the list is pushed, it schedules the next call.
-func (w *Watcher) reportFailure() {
+func (w *Watcher) reportFailure(silence time.Duration) {
 	if w.failureReported {
 		return
 	}
 	w.failureReported = true
-	w.emit(ActReportFailure, w.latestCall)
+	w.emitAfterSilence(ActReportFailure, w.latestCall, silence)
 	if w.following {
 		w.callScheduled, w.nextCallAt = true, w.now+w.policy.RetryDelay/2+time.Duration(w.random()*float64(w.policy.RetryDelay))
 	}
 }
 
 func (w *Watcher) checkTimeouts() {
-	if w.activeCall != 0 && w.now >= w.lastActivity+w.policy.SilenceTimeout {
-		w.emit(ActCancelCall, w.activeCall)
-		w.callEnded(w.activeCall)
+	if silence := w.now - w.lastActivity; w.activeCall != 0 && silence >= w.policy.SilenceTimeout {
+		w.emitAfterSilence(ActCancelCall, w.activeCall, silence)
+		w.callEnded(w.activeCall, silence)
 	}
 	for i := 0; i < len(w.calls); i++ {
 		c := w.calls[i]
 		if c.number == w.latestCall && w.now >= c.startedAt+w.policy.SoftTimeout {
-			w.reportFailure()
+			w.reportFailure(0)
 		}
 		if w.now >= c.startedAt+w.callTimeout(i) {
 			w.emit(ActCancelCall, c.number)
-			w.callEnded(c.number)
+			w.callEnded(c.number, 0)
 			i--
 		}
 	}
--- a/internal/listwatch/listwatch_test.go
+++ b/internal/listwatch/listwatch_test.go
@@ -13,6 +13,7 @@
 	inFlight   []int // calls started and not ended, the oldest first
 	startTimes []time.Duration
 	failures   int
+	silence    time.Duration // that the last failure was reported with
 }
 
 func newFakeHost(p Policy) *fakeHost {
@@ -31,6 +32,7 @@
 			h.forget(a.Call)
 		case ActReportFailure:
 			h.failures++
+			h.silence = a.Silence
 		}
 	}
 }
@@ -55,6 +57,34 @@
 	}
 }
 
+// The failure of a silent watch must be reported with the time for which it was silent, other failures without.
+func TestSilenceIsReported(t *testing.T) {
+	for name, c := range map[string]struct {
+		end  func(h *fakeHost)
+		want time.Duration
+	}{
+		"silent": {func(h *fakeHost) { h.advanceTo(h.now + PollPolicy.SilenceTimeout) }, PollPolicy.SilenceTimeout},
+		"detected late": {func(h *fakeHost) {
+			h.now += PollPolicy.SilenceTimeout + time.Second
+			h.handle(EvTick, 0)
+		}, PollPolicy.SilenceTimeout + time.Second},
+		"ended": {func(h *fakeHost) { h.handle(EvCallEnded, 1) }, 0},
+	} {
+		h := newFakeHost(PollPolicy)
+		h.handle(EvPoll, 0)
+		h.handle(EvAnswered, 1)
+		h.advanceTo(time.Second)
+		h.handle(EvActivity, 1)
+		if c.end(h); h.failures != 1 || h.silence != c.want {
+			t.Errorf("%s: %d failures, the last after a silence of %v, want %v", name, h.failures, h.silence, c.want)
+		}
+		h.handle(EvPoll, 0)
+		if h.handle(EvCallEnded, 2); h.failures != 2 || h.silence != 0 {
+			t.Errorf("%s: %d failures, that of the next call after a silence of %v", name, h.failures, h.silence)
+		}
+	}
+}
+
 // A call that hangs is reported as failed after SoftTimeout but continues beside the next one. The first call that is
 // answered becomes the watch, and the end of an older call is no failure.
 func TestHangingCallDoesNotBlockTheNext(t *testing.T) {
--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -158,10 +158,11 @@
 	policy     listwatch.Policy
 	maxObject  int                                             // bytes; see maxListBytes
 	onList     func(List)                                      // receives each list or list change
-	onFailed   func()                                          // called when the latest call failed or is overdue, or its watch broke
+	onFailed   func(silence time.Duration)                     // called when the latest call failed or is overdue, or its watch broke, after a silence
 	onAnswered func()                                          // called when a call is answered, even without a list; may be nil
 	dial       func(context.Context, string) (net.Conn, error) // nil = dial TCP
 	random     func() float64                                  // returns numbers in [0, 1); nil = rand.Float64
+	logger     *slog.Logger                                    // nil = slog.Default
 
 	mu       sync.Mutex
 	addr     string
@@ -175,10 +176,19 @@
 	timer    *time.Timer        // fires the Watcher's next tick
 }
 
+// SilentWatchError reports that discovery kept a watch open and sent nothing on it, not even a heartbeat. Discovery is called again.
+type SilentWatchError struct {
+	Silence time.Duration
+}
+
+func (e *SilentWatchError) Error() string {
+	return fmt.Sprintf("watch: nothing was received for %v; if this recurs, check discovery and the network to it", e.Silence.Round(time.Millisecond))
+}
+
 // watchCall is one call to discovery, which becomes a watch once it is answered.
 type watchCall struct {
 	number int
-	cancel func()
+	cancel context.CancelCauseFunc
 	done   chan struct{} // closed when the call has ended
 }
 
@@ -231,16 +241,18 @@
 	for _, a := range d.actions {
 		switch a.Kind {
 		case listwatch.ActStartCall:
-			ctx, cancel := context.WithCancel(d.baseCtx)
+			ctx, cancel := context.WithCancelCause(d.baseCtx)
 			d.lastCall = &watchCall{number: a.Call, cancel: cancel, done: make(chan struct{})}
 			d.calls[a.Call] = d.lastCall
 			go d.runCall(ctx, d.lastCall, d.addr, d.rev)
 		case listwatch.ActCancelCall:
-			if c := d.calls[a.Call]; c != nil {
-				c.cancel()
+			if c := d.calls[a.Call]; c != nil && a.Silence > 0 {
+				c.cancel(&SilentWatchError{a.Silence})
+			} else if c != nil {
+				c.cancel(nil)
 			}
 		case listwatch.ActReportFailure:
-			d.onFailed()
+			d.onFailed(a.Silence)
 		}
 	}
 	if at, ok := d.watcher.NextTick(); ok {
@@ -259,8 +271,11 @@
 // runCall makes one call and reports its end to the Watcher.
 func (d *discovery) runCall(ctx context.Context, c *watchCall, addr string, rev int64) {
 	err := d.watch(ctx, c.number, addr, rev)
-	c.cancel()
-	slog.Info("watch ended", "addr", addr, "err", err)
+	if silent := (*SilentWatchError)(nil); errors.As(context.Cause(ctx), &silent) {
+		err = silent
+	}
+	c.cancel(nil)
+	cmp.Or(d.logger, slog.Default()).Info("watch ended", "addr", addr, "err", err)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	delete(d.calls, c.number)
--- a/internal/sidecar/server_list.go
+++ b/internal/sidecar/server_list.go
@@ -1,6 +1,10 @@
 package sidecar
 
-import "forkline"
+import (
+	"time"
+
+	"forkline"
+)
 
 // This file passes the server list from discovery to the module and the connection pool.
 
@@ -51,6 +55,11 @@
 	}
 }
 
+// handleListFailure tells the module that a call for the list has failed, or that the watch has broken after the given silence.
+func (l *loop) handleListFailure(silence time.Duration) {
+	l.handle(&forkline.Event{Kind: forkline.EvList, List: forkline.ListFailed, Elapsed: durationToMS(silence)})
+}
+
 // handleListEvent passes a discovery event without list entries to the module.
 func (l *loop) handleListEvent(kind forkline.ListKind) {
 	l.handle(&forkline.Event{Kind: forkline.EvList, List: kind})
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -89,7 +89,7 @@
 			}
 			l.post(func() { l.updateList(list, kind) })
 		},
-		onFailed: func() { l.post(func() { l.handleListEvent(forkline.ListFailed) }) },
+		onFailed: func(silence time.Duration) { l.post(func() { l.handleListFailure(silence) }) },
 	}
 	if cfg.Site.Settings.PollList {
 		d.policy = listwatch.PollPolicy
--- a/internal/sidecar/watch_test.go
+++ b/internal/sidecar/watch_test.go
@@ -1,16 +1,20 @@
 package sidecar
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"regexp"
 	"runtime"
+	"strings"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"forkline"
@@ -88,7 +92,7 @@
 // A watch must accept lists that are indented, that share a line or that contain braces in strings.
 func TestWatchAcceptsAnyJSONLayout(t *testing.T) {
 	lists := make(chan List, 10)
-	d := &discovery{policy: longTimeoutPolicy(testTimeout), onList: func(l List) { lists <- l }, onFailed: func() {}}
+	d := &discovery{policy: longTimeoutPolicy(testTimeout), onList: func(l List) { lists <- l }, onFailed: func(time.Duration) {}}
 	d.addr = startServer(t, func(_ int, c net.Conn, _ *http.Request) bool {
 		io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\n\n{\n  \"rev\": 1,\n\n  \"all\": true,\n  \"targets\": [\n    {\n      "+
 			"\"uid\": \"}\\\"{\",\r\n\t\"endpoint\": \"127.0.0.1:1\", \"state\": \"Ready\"}\n  ]\n}\n\n {\"rev\":2} {\"rev\":3}\n")
@@ -122,7 +126,7 @@
 		},
 	} {
 		done := make(chan struct{})
-		d := &discovery{policy: longTimeoutPolicy(30 * time.Millisecond), onList: func(List) {}, onFailed: func() {}}
+		d := &discovery{policy: longTimeoutPolicy(30 * time.Millisecond), onList: func(List) {}, onFailed: func(time.Duration) {}}
 		d.addr = startServer(t, func(_ int, c net.Conn, _ *http.Request) bool {
 			io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\n")
 			respond(c)
@@ -146,7 +150,7 @@
 	done := make(chan struct{})
 	defer close(done)
 	calls := make(chan string, 10)
-	d := &discovery{policy: longTimeoutPolicy(30 * time.Millisecond), rev: 3, onList: func(List) {}, onFailed: func() {}}
+	d := &discovery{policy: longTimeoutPolicy(30 * time.Millisecond), rev: 3, onList: func(List) {}, onFailed: func(time.Duration) {}}
 	d.addr = startFakeDiscovery(t, func(since string, send func(List), keepAlive func()) {
 		calls <- since
 		send(List{Rev: 4})
@@ -158,6 +162,43 @@
 	}
 }
 
+// The log must tell a watch that has fallen silent from one that has ended: the first leaves less time for the next call.
+func TestSilentWatchIsLogged(t *testing.T) {
+	for name, c := range map[string]struct {
+		ends bool // discovery ends the watch
+		want string
+	}{
+		"silent": {false, `err="watch: nothing was received for 3`},
+		"ended":  {true, "err=EOF"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				lines := make(logLines, 10)
+				d := &discovery{
+					policy: listwatch.PollPolicy, onList: func(List) {}, onFailed: func(time.Duration) {},
+					logger: slog.New(slog.NewTextHandler(lines, nil)),
+				}
+				d.dial = func(context.Context, string) (net.Conn, error) {
+					local, remote := net.Pipe()
+					go func() {
+						defer remote.Close()
+						http.ReadRequest(bufio.NewReader(remote))
+						io.WriteString(remote, "HTTP/1.1 200 OK\r\n\r\n{\"rev\":1}\n")
+						if !c.ends {
+							remote.Read(make([]byte, 1)) // until the caller gives up
+						}
+					}()
+					return local, nil
+				}
+				d.poll(t.Context())
+				if line := <-lines; !strings.Contains(line, c.want) {
+					t.Errorf("log line %q, want %s", line, c.want)
+				}
+			})
+		})
+	}
+}
+
 // Changes that a silent watch misses must be received within 6 s: by then the silence must have been detected, the
 // module's first back-off must be over and a new call must have been answered.
 func TestSilenceTimeoutLeavesTimeToRetry(t *testing.T) {
@@ -216,7 +257,7 @@
 		ended <- n
 		return false
 	}).Addr().String()
-	d := &discovery{policy: longTimeoutPolicy(testTimeout), addr: addr, onList: func(List) {}, onFailed: func() {}}
+	d := &discovery{policy: longTimeoutPolicy(testTimeout), addr: addr, onList: func(List) {}, onFailed: func(time.Duration) {}}
 	firstReturned := make(chan struct{})
 	go func() { d.follow(t.Context()); close(firstReturned) }()
 	<-calls
@@ -243,7 +284,7 @@
 // failure must be reported so that the module retries.
 func TestFailedAddrChangeKeepsOldWatch(t *testing.T) {
 	send, revs, failed := make(chan int64), make(chan int64, 10), make(chan struct{}, 10)
-	d := &discovery{policy: longTimeoutPolicy(testTimeout), rev: 1, onList: func(l List) { revs <- l.Rev }, onFailed: func() { failed <- struct{}{} }}
+	d := &discovery{policy: longTimeoutPolicy(testTimeout), rev: 1, onList: func(l List) { revs <- l.Rev }, onFailed: func(time.Duration) { failed <- struct{}{} }}
 	d.addr = startServer(t, func(_ int, c net.Conn, _ *http.Request) bool {
 		io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\n")
 		for rev := range send {
@@ -276,7 +317,7 @@
 	revs, oldEnded := make(chan int64, 10), make(chan struct{})
 	var failures atomic.Int32
 	next := make(chan int64)
-	d := &discovery{policy: longTimeoutPolicy(testTimeout), rev: 1, onList: func(l List) { revs <- l.Rev }, onFailed: func() { failures.Add(1) }}
+	d := &discovery{policy: longTimeoutPolicy(testTimeout), rev: 1, onList: func(l List) { revs <- l.Rev }, onFailed: func(time.Duration) { failures.Add(1) }}
 	old := startServer(t, func(_ int, c net.Conn, _ *http.Request) bool {
 		io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\n")
 		go func() {
@@ -329,7 +370,7 @@
 // Where the list is polled, the module decides when to call again. Each failed call must therefore be reported to it.
 func TestFailedCallIsReported(t *testing.T) {
 	failed := make(chan struct{}, 1)
-	d := &discovery{policy: longTimeoutPolicy(testTimeout), onList: func(List) { t.Error("a list was received") }, onFailed: func() { failed <- struct{}{} }}
+	d := &discovery{policy: longTimeoutPolicy(testTimeout), onList: func(List) { t.Error("a list was received") }, onFailed: func(time.Duration) { failed <- struct{}{} }}
 	for name, text := range map[string]string{
 		"rejected":    "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n",
 		"reset":       "",
