Ask for a lost list once a second until its changes count as notified

Cause: the wait for the next call did not follow the time that was left. updateList granted one call in the round of 1 s after a watch broke and two after a move, and put later ones into the round of 5 s. After a silence, which is noticed after 3 s, the second call came up to 9 s late, after a move the third up to 7 s. Changes count as notified after 6 s and 4 s.

Evidence: silence at 8.17 s, the refused call at 11.63 s, the next at 16.63 s, its slot in the 5 s round. Ruled out: a late detection, a failure that is not reported, a poll that is swallowed, a list applied late (docs/incidents).

Change: schedulePoll (poll.go) has calls come in rounds of 1 s until changes count as notified, where a call in the next long round would be too late: after a silence, less its length, and after a move. A long slot that passes while a call hangs is made up for within a second.

--- a/balancer.go
+++ b/balancer.go
@@ -172,9 +172,9 @@
 	tierRatio                        float64 // mean latency ratio of the tier
 	scratch                          []float64
 	maxThreshold                     float64 // largest, in ms: a server with no answer for longer is overdue
-	wakeAt, pollAt                   float64 // times of the pending timer and the next poll; 0 = none
+	wakeAt                           float64 // time of the pending timer; 0 = none
 	timerToken                       uint64  // of the pending timer
-	nextPollRound                    float64 // length of the copies' next round of polls, in ms
+	polls                            pollSchedule
 }
 
 // New returns a Balancer for one copy. Its random numbers are determined by the seed.
@@ -186,8 +186,8 @@
 		requests: map[uint32]*request{}, retries: stats.Window{LeaveLate: true}} // a budget is a limit
 	b.configure(settings)
 	if settings.PollList {
-		b.nextPollRound = pollRound
-		b.pollAt = now + b.rng.Float64()*firstPollSpread*settings.Safety.PollInterval
+		b.polls.lost = true
+		b.polls.nextAt = now + b.rng.Float64()*firstPollSpread*settings.Safety.PollInterval
 	}
 	b.limit = concurrencyLimit{baseline: math.Inf(1), baselineFrom: now + 2*b.maxThreshold}
 	return b, nil
@@ -921,16 +921,8 @@
 }
 
 func (b *Balancer) updateList(ev *Event) {
-	if ev.List != ListFailed { // discovery could be reached, or has moved
-		b.nextPollRound = fastPollRound
-	}
+	b.schedulePoll(ev)
 	if ev.List == ListFailed || ev.List == ListMoved {
-		if at := b.nextPollAt(); b.cfg.PollList && (b.pollAt == 0 || at < b.pollAt) {
-			b.pollAt = at
-		}
-		if ev.List == ListFailed {
-			b.nextPollRound = pollRound
-		}
 		return
 	}
 	if ev.List != ListDelta {
@@ -1037,11 +1029,11 @@
 
 // scheduleWake polls the list if due, and keeps one timer pending for the queue, polls and attempt timers.
 func (b *Balancer) scheduleWake() {
-	if b.pollAt != 0 && b.now >= b.pollAt {
-		b.pollAt = 0
+	if b.polls.nextAt != 0 && b.now >= b.polls.nextAt {
+		b.polls.nextAt, b.polls.lastAt = 0, b.now
 		b.actions = append(b.actions, Action{Kind: ActWatchList})
 	}
-	at := cmp.Or(b.pollAt, math.Inf(1))
+	at := cmp.Or(b.polls.nextAt, math.Inf(1))
 	if len(b.queue) > 0 {
 		at = min(at, max(b.now+minWakeDelay, min(b.sweepAt, b.now+maxWakeDelay)))
 	}
--- a/discovery_test.go
+++ b/discovery_test.go
@@ -87,6 +87,67 @@
 	}
 }
 
+// Guards against requests to a draining server (issue 36, review/9): after a watch has been silent for 3 s, and after a move, a copy
+// must poll once a second until changes count as notified, 6 s after the silence began and 4 s after the move. After a watch has
+// ended, one poll in a second is followed by another one in time. Later polls are 5 s apart, so that an outage brings no more.
+func TestLostListIsPolledUntilChangesCountAsNotified(t *testing.T) {
+	ended, silent := Event{Kind: EvList, List: ListFailed}, Event{Kind: EvList, List: ListFailed, Elapsed: 3000}
+	moved, received := Event{Kind: EvList, List: ListMoved}, Event{Kind: EvList, List: ListDelta}
+	for name, c := range map[string]struct {
+		events    []Event
+		limit     float64 // ms from the last event until changes count as notified
+		failAfter float64 // ms from a poll to its failure
+		least     int     // polls within the limit
+		most      int
+	}{
+		"silent, refused":           {[]Event{received, silent}, 3000, 0, 3, 3},
+		"silent, overdue":           {[]Event{received, silent}, 3000, 1700, 2, 2},
+		"moved, refused":            {[]Event{moved}, 4000, 0, 4, 4},
+		"moved, overdue":            {[]Event{moved}, 4000, 1700, 2, 2},
+		"ended, refused":            {[]Event{received, ended}, 6000, 0, 2, 3},
+		"ended, overdue":            {[]Event{received, ended}, 6000, 1700, 2, 3},
+		"moved after a silence":     {[]Event{received, silent, moved}, 4000, 0, 4, 4},
+		"silent after a move":       {[]Event{moved, received, silent}, 3000, 0, 3, 4},
+		"moved after a long outage": {[]Event{ended, ended, moved}, 4000, 0, 4, 4},
+		"silent for a long time":    {[]Event{received, {Kind: EvList, List: ListFailed, Elapsed: 60000}}, 1000, 0, 1, 1},
+	} {
+		for rank := range 12 {
+			p := newPoller(t, 12, rank, rank%2)
+			for range 10 {
+				p.nextPoll(t)
+				p.listEvent(ListFailed)
+			}
+			p.now += 0.5
+			from := p.now
+			for _, ev := range c.events {
+				p.handle(ev)
+			}
+			polls, previous := 0, from
+			for {
+				at := p.nextPoll(t)
+				if at > from+c.limit {
+					if gap := at - previous; gap > 5000 {
+						t.Errorf("%s, copy %d: the first later poll comes after %v ms", name, rank, gap)
+					}
+					break
+				}
+				polls, previous = polls+1, at
+				p.now += c.failAfter
+				p.listEvent(ListFailed)
+			}
+			if polls < c.least || polls > c.most {
+				t.Errorf("%s, copy %d: %d polls in %v ms, want %d to %d", name, rank, polls, c.limit, c.least, c.most)
+			}
+			p.listEvent(ListFailed)
+			at := p.nextPoll(t)
+			p.listEvent(ListFailed)
+			if gap := p.nextPoll(t) - at; gap != 5000 {
+				t.Errorf("%s, copy %d: later polls are %v ms apart", name, rank, gap)
+			}
+		}
+	}
+}
+
 // After a move, an answer or a broken watch the next poll is at most 1 s away, whatever failed before.
 func TestMovedDiscoveryIsPolledSoon(t *testing.T) {
 	for rank := range 12 {
--- a/internal/sidecar/discovery_test.go
+++ b/internal/sidecar/discovery_test.go
@@ -48,6 +48,8 @@
 
 	mu            sync.Mutex
 	outage        outage
+	failing       outage        // how the calls fail that failNext has counted
+	failuresLeft  []int         // by rank of the copy, its next calls that fail so
 	interrupted   chan struct{} // closed when an outage begins or the watches become silent
 	watchesSilent bool          // no heartbeats are sent, but connections stay open
 	nextFree      time.Time     // when it can handle the next call
@@ -57,7 +59,34 @@
 }
 
 func newSimulatedDiscovery(copies int, callTime time.Duration) *simulatedDiscovery {
-	return &simulatedDiscovery{callTime: callTime, answeredAt: make([]time.Time, copies), interrupted: make(chan struct{})}
+	return &simulatedDiscovery{
+		callTime: callTime, answeredAt: make([]time.Time, copies), failuresLeft: make([]int, copies), interrupted: make(chan struct{}),
+	}
+}
+
+// failNext has the next calls of each copy fail, though discovery is available.
+func (s *simulatedDiscovery) failNext(kind outage, callsPerCopy int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.failing = kind
+	for rank := range s.failuresLeft {
+		s.failuresLeft[rank] = callsPerCopy
+	}
+}
+
+// callOutcome returns how the next call of a copy fails. The caller holds mu.
+func (s *simulatedDiscovery) callOutcome(copyRank int) outage {
+	if s.outage == noOutage && s.failuresLeft[copyRank] > 0 {
+		s.failuresLeft[copyRank]--
+		return s.failing
+	}
+	return s.outage
+}
+
+// resetWatches ends the open watches. Calls are handled as before.
+func (s *simulatedDiscovery) resetWatches() {
+	s.setOutage(connRefused)
+	s.setOutage(noOutage)
 }
 
 // setOutage begins an outage, or ends it with noOutage.
@@ -84,7 +113,7 @@
 func (s *simulatedDiscovery) dial(ctx context.Context, copyRank int, timeout time.Duration) (net.Conn, error) {
 	s.mu.Lock()
 	s.callTimes = append(s.callTimes, time.Now())
-	kind := s.outage
+	kind := s.callOutcome(copyRank)
 	s.mu.Unlock()
 	switch kind {
 	case connRefused:
@@ -96,17 +125,18 @@
 		return nil, ctx.Err()
 	}
 	local, remote := net.Pipe()
-	go s.serve(remote, copyRank)
+	go s.serve(remote, copyRank, kind)
 	return local, nil
 }
 
-func (s *simulatedDiscovery) serve(c net.Conn, copyRank int) {
+// serve handles one call, which fails as its kind says.
+func (s *simulatedDiscovery) serve(c net.Conn, copyRank int, kind outage) {
 	defer c.Close()
 	if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
 		return
 	}
 	s.mu.Lock()
-	kind, interrupted, now := s.outage, s.interrupted, time.Now()
+	interrupted, now := s.interrupted, time.Now()
 	if kind == noOutage {
 		if s.nextFree.Before(now) {
 			s.nextFree = now
@@ -249,6 +279,48 @@
 	}
 }
 
+// Guards against requests to a draining server (issue 36, review/9): changes must be received in time after a watch has fallen silent
+// or was reset, or discovery has moved, also where the first calls after that are refused or hang while discovery is available.
+func TestChangesAreReceivedInTimeThoughFirstCallsFail(t *testing.T) {
+	const callTime = 10 * time.Millisecond
+	for name, c := range map[string]struct {
+		disrupt func(old, next *simulatedDiscovery, move func(addr string))
+		limit   time.Duration
+		refused int // calls of each copy that may be refused at once
+	}{
+		"silent watch": {func(old, _ *simulatedDiscovery, _ func(string)) { old.silenceWatches() }, notifyLimit, 2},
+		"reset watch":  {func(old, _ *simulatedDiscovery, _ func(string)) { old.resetWatches() }, notifyLimit, 1},
+		"move":         {func(_, _ *simulatedDiscovery, move func(string)) { move("b:1") }, notifyLimitAfterMove, 3},
+	} {
+		for _, copies := range []int{1, 12, 60} {
+			for kind, calls := range map[outage]int{unavailable503: c.refused, connRefused: c.refused, acceptedSilent: 1, connHangs: 1} {
+				t.Run(fmt.Sprintf("%s/%d copies/%s", name, copies, kind), func(t *testing.T) {
+					synctest.Test(t, func(t *testing.T) {
+						old, next := newSimulatedDiscovery(copies, callTime), newSimulatedDiscovery(copies, callTime)
+						move, stop := startFleet(t, copies, true, map[string]*simulatedDiscovery{"a:1": old, "b:1": next})
+						time.Sleep(20 * time.Second)
+						answering := old
+						if name == "move" {
+							answering = next
+						}
+						answering.failNext(kind, calls)
+						disruptedAt := time.Now()
+						c.disrupt(old, next, move)
+						time.Sleep(15 * time.Second)
+						last, ok := answering.lastAnswered(disruptedAt)
+						limit := c.limit + time.Duration(copies)*callTime // the last call may wait for those of all other copies
+						if _, peak := answering.callRate(disruptedAt, disruptedAt.Add(limit)); !ok || last > limit || peak > copies {
+							t.Errorf("all answered: %v, the last after %v, want %v; up to %d calls per second", ok, last, limit, peak)
+						}
+						stop()
+						time.Sleep(time.Minute)
+					})
+				})
+			}
+		}
+	}
+}
+
 // After an outage of discovery every copy must have called again and been answered within 6 s, however long the outage
 // was and however calls failed during it. After a SIGHUP that sets an address where discovery answers, the limit is 4
 // s. Calls are handled one after another and take 10 ms each. Neither during the outage nor at its end may the copies
