Let the soak answer without lengths and check readiness with bodies

Endpoints now answer some requests without a length, some of these cut off by a reset, and one client checks readiness with a body that reads like a request. No such body may run, and no response that was cut off may be passed on as whole: endpoints state the length of a body in a header of their own.

--- a/cmd/forkline/soak_test.go
+++ b/cmd/forkline/soak_test.go
@@ -190,17 +190,30 @@
 	s.startProcess()
 }
 
-// serveEndpoint starts an endpoint that records the runs of unsafe requests. Some requests it leaves unanswered or resets.
+// smuggledID begins the IDs of requests that stand in the body of another message, so that no client sends them.
+const smuggledID = "smuggled-"
+
+// bodyLengthHeader tells a client how long the body of a response is, also where the endpoint has sent it without a length.
+const bodyLengthHeader = "X-Body-Length"
+
+// serveEndpoint starts an endpoint that records the runs of unsafe requests. Some requests it leaves unanswered or resets. Some
+// responses have no length, and of these some are cut off by a reset.
 func (s *soak) serveEndpoint(hangs bool, seed uint64) string {
 	var served atomic.Uint64
 	return newFakeServer(s.t, func(c net.Conn) {
 		answerRequests(c, func(req *http.Request) bool { // only complete requests run
+			id := req.Header.Get("X-Request-Id")
+			if strings.HasPrefix(id, smuggledID) {
+				s.problem("the body of a message ran as a request")
+			}
 			if req.Method == http.MethodPost {
 				s.mu.Lock()
-				s.runs[soakRun{req.Header.Get("X-Request-Id"), s.starts}]++
+				s.runs[soakRun{id, s.starts}]++
 				s.mu.Unlock()
 			}
 			n := served.Add(1) + seed
+			body := strings.Repeat("x", int((n*7919)%maxBody))
+			noLength := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %d\r\n\r\n", bodyLengthHeader, len(body))
 			switch {
 			case hangs && n%7 == 0:
 				io.Copy(io.Discard, c)
@@ -208,8 +221,15 @@
 			case n%23 == 0:
 				c.(*net.TCPConn).SetLinger(0)
 				return false
+			case n%11 == 0:
+				io.WriteString(c, noLength+body)
+				return false
+			case n%13 == 0:
+				io.WriteString(c, noLength+body[:len(body)/2])
+				c.(*net.TCPConn).SetLinger(0)
+				return false
 			}
-			return writeOK(c, strings.Repeat("x", int((n*7919)%maxBody)))
+			return writeOK(c, body)
 		})
 	}).addr
 }
@@ -256,8 +276,12 @@
 func (s *soak) readAnswer(c *net.Conn, id string) {
 	(*c).SetReadDeadline(time.Now().Add(soakAnswerTime))
 	res, err := http.ReadResponse(bufio.NewReader(*c), nil)
+	length := int64(0)
 	if err == nil {
-		_, err = io.Copy(io.Discard, res.Body)
+		length, err = io.Copy(io.Discard, res.Body)
+	}
+	if err == nil && res.Header.Get(bodyLengthHeader) != "" && res.Header.Get(bodyLengthHeader) != fmt.Sprint(length) {
+		s.problem("a response that was cut off is passed on as whole")
 	}
 	status := 0
 	if err == nil {
@@ -274,6 +298,28 @@
 	}
 }
 
+// checkReadiness checks whether the process is ready, again and again, with a body that reads like a request.
+func (s *soak) checkReadiness(ctx context.Context) {
+	var c net.Conn
+	for n := 0; ctx.Err() == nil; n++ {
+		if c == nil {
+			var err error
+			if c, err = net.DialTimeout("tcp", s.addr, soakAnswerTime); err != nil {
+				c = nil
+				time.Sleep(10 * time.Millisecond) // limits the rate of attempts while nothing listens
+				continue
+			}
+		}
+		body := fmt.Sprintf("POST /pay/x HTTP/1.1\r\nHost: b\r\nX-Class: pay\r\nX-Request-Id: %s%d\r\nContent-Length: 0\r\n\r\n", smuggledID, n)
+		fmt.Fprintf(c, "GET /-/ready HTTP/1.1\r\nHost: b\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+		s.readAnswer(&c, "of a readiness check")
+		time.Sleep(20 * time.Millisecond) // the checker's interval
+	}
+	if c != nil {
+		c.Close()
+	}
+}
+
 // flood sends requests with no time left at full speed on one connection after another.
 func (s *soak) flood(ctx context.Context) {
 	for n := 0; ctx.Err() == nil; {
@@ -336,6 +382,7 @@
 	for client := range 8 {
 		wg.Go(func() { s.useConnections(ctx, client) })
 	}
+	wg.Go(func() { s.checkReadiness(ctx) })
 	if s.plan.Flood {
 		wg.Go(func() { s.flood(ctx) })
 	}
@@ -357,7 +404,8 @@
 }
 
 // Guards against faults that show only together: whatever is drawn, no process may end by itself or pass its limits, nothing unsafe may
-// run twice, each request must get a response or a close, and service must come back.
+// run twice, nothing may run that no client sent, no response may be passed on that was cut off, each request must get a response or a
+// close, and service must come back.
 func TestSoak(t *testing.T) {
 	for i := range *soakSeeds {
 		plan := drawSoakPlan(*soakFirst + uint64(i))
