--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -4,153 +4,21 @@
 	"bufio"
 	"cmp"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
-	"hash/fnv"
-	"io"
 	"log/slog"
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"slices"
 	"strconv"
 	"sync"
 	"time"
 
-	"forkline"
 	"forkline/internal/listwatch"
 )
 
-const (
-	defaultCachedListDelay = time.Second // how long a new process waits for discovery before it uses the initial list
-	maxObjectBytes         = 8 << 20     // limit for one JSON object of a watch, in bytes
-	objectMemoryShare      = 1.0 / 16    // of the memory limit, for the same; a list takes several times its text
-)
-
-// ListTooLargeError reports a list that does not fit into the memory limit. The list before it stays in use.
-type ListTooLargeError struct {
-	Limit int // bytes
-}
-
-func (e *ListTooLargeError) Error() string {
-	return fmt.Sprintf("list: over %d bytes: raise limits.memory_mb, or have discovery serve shorter lists", e.Limit)
-}
-
-// maxListBytes returns the limit for one JSON object of a watch under the given memory limit.
-func maxListBytes(memoryMB int) int {
-	return min(maxObjectBytes, int(objectMemoryShare*float64(cmp.Or(memoryMB, defaultMemoryMB))*(1<<20)))
-}
-
-// List is a message of discovery: a full list or changes to it.
-type List struct {
-	Rev     int64    `json:"rev"` // version of the list
-	Full    bool     `json:"all"` // Targets holds all entries, not only changed ones
-	Targets []Target `json:"targets"`
-}
-
-// Target is one entry of a list.
-type Target struct {
-	UID      string  `json:"uid"`
-	Endpoint string  `json:"endpoint"`
-	Zone     string  `json:"az"`
-	Kind     string  `json:"model"`
-	Cell     uint16  `json:"pod_group"`
-	State    string  `json:"state"` // a key of serverStates
-	Weight   float64 `json:"capacity_hint"`
-	BootMS   float64 `json:"boot_ms"` // Unix time of the last start, in ms
-}
-
-var serverStates = map[string]forkline.ServerState{
-	"Ready": forkline.Ready, "Terminating": forkline.Draining, "Gone": forkline.Removed,
-}
-
-// ParseList decodes one list and validates each of its entries.
-func ParseList(text []byte) (List, error) {
-	var l List
-	if err := json.Unmarshal(text, &l); err != nil {
-		return l, err
-	}
-	for i, t := range l.Targets {
-		if _, ok := serverStates[t.State]; !ok || t.UID == "" {
-			return l, fmt.Errorf("targets[%d]: uid %q or state %q is unknown", i, t.UID, t.State)
-		}
-		if _, _, err := net.SplitHostPort(t.Endpoint); err != nil && serverStates[t.State] != forkline.Removed {
-			return l, fmt.Errorf("targets[%d]: endpoint: %w", i, err)
-		}
-	}
-	return l, nil
-}
-
-// merge returns the full list that results from applying the changes in delta to l.
-func (l List) merge(delta List) List {
-	merged := List{Rev: delta.Rev, Full: true}
-	targets := slices.Concat(l.Targets, delta.Targets)
-	last := make(map[string]int, len(targets))
-	for i, t := range targets {
-		last[t.UID] = i
-	}
-	for i, t := range targets {
-		if last[t.UID] == i && t.State != "Gone" {
-			merged.Targets = append(merged.Targets, t)
-		}
-	}
-	return merged
-}
-
-// directory assigns IDs to servers. The ID is a hash of the UID and thus the same at every sidecar, as the assignment
-// of server subsets to copies requires. Only if two UIDs collide does one of them get another ID.
-type directory struct {
-	zones, kinds []string
-	ids          map[string]uint32
-	uids         map[uint32]string
-	targets      map[uint32]Target // last known entry of each listed server
-}
-
-func newDirectory(zones, kinds []string) *directory {
-	return &directory{zones: zones, kinds: kinds, ids: map[string]uint32{}, uids: map[uint32]string{}, targets: map[uint32]Target{}}
-}
-
-// id returns the ID of a server and assigns one if it has none.
-func (d *directory) id(uid string) uint32 {
-	if id, ok := d.ids[uid]; ok {
-		return id
-	}
-	h := fnv.New32a()
-	io.WriteString(h, uid)
-	id := h.Sum32()
-	for d.uids[id] != "" {
-		id++
-	}
-	d.ids[uid], d.uids[id] = id, uid
-	return id
-}
-
-// entry converts a target to the module's format. A zone that the settings do not name gets a number that no sidecar
-// has as its own zone.
-func (d *directory) entry(t *Target) forkline.ServerEntry {
-	zone, kind := slices.Index(d.zones, t.Zone), slices.Index(d.kinds, t.Kind)
-	if zone < 0 {
-		zone = min(len(d.zones), 255)
-	}
-	id := d.id(t.UID)
-	d.targets[id] = *t
-	return forkline.ServerEntry{
-		Server: id, Zone: uint8(zone), Kind: uint16(max(kind, 0)), Cell: t.Cell,
-		State: serverStates[t.State], Weight: t.Weight, Started: t.BootMS,
-	}
-}
-
-// prune forgets servers that are no longer listed, as UIDs come and go for as long as a sidecar runs.
-func (d *directory) prune(isListed func(id uint32) bool) {
-	for uid, id := range d.ids {
-		if !isListed(id) {
-			delete(d.ids, uid)
-			delete(d.uids, id)
-			delete(d.targets, id)
-		}
-	}
-}
+// defaultCachedListDelay is how long a new process waits for discovery before it uses the initial list.
+const defaultCachedListDelay = time.Second
 
 // discovery makes the calls that a listwatch.Watcher requests and runs its timer. If the list is polled, the module
 // decides when to call; if it is pushed, the Watcher does.
@@ -351,51 +219,3 @@
 		}
 	}
 }
-
-// objectReader splits a watch into its JSON objects. An object may span several lines, so its end is found by
-// counting braces. Complete objects and line breaks between them count as activity; parts of an object do not, so
-// that a watch which delivers single bytes still times out.
-type objectReader struct {
-	r          *bufio.Reader
-	limit      int // bytes of one object
-	onActivity func()
-}
-
-var errNoObject = errors.New("list: no JSON object")
-
-// next returns the next complete object.
-func (o *objectReader) next() ([]byte, error) {
-	var text []byte
-	for depth, quoted, escaped := 0, false, false; ; {
-		b, err := o.r.ReadByte()
-		switch {
-		case err != nil:
-			return nil, err
-		case depth == 0 && b == '\n':
-			o.onActivity()
-			continue
-		case depth == 0 && (b == ' ' || b == '\t' || b == '\r'):
-			continue
-		case depth == 0 && b != '{':
-			return nil, errNoObject
-		case len(text) == o.limit:
-			return nil, &ListTooLargeError{o.limit}
-		}
-		text = append(text, b)
-		switch {
-		case escaped:
-			escaped = false
-		case quoted:
-			escaped, quoted = b == '\\', b != '"'
-		case b == '"':
-			quoted = true
-		case b == '{':
-			depth++
-		case b == '}':
-			if depth--; depth == 0 {
-				o.onActivity()
-				return text, nil
-			}
-		}
-	}
-}
