--- a/internal/sidecar/outcome.go
+++ b/internal/sidecar/outcome.go
@@ -17,11 +17,13 @@
 // readResponse reads the response and returns the outcome that it proves. The result reusable reports whether the
 // connection can be used again.
 func readResponse(a *attempt, c *conn, outgoing *upstreamRequest, deadline time.Time) (outcome forkline.Outcome, resp *response, reusable bool) {
-	ctx, cancel := context.WithDeadline(a.ctx, deadline)
-	defer cancel()
 	memory := &messageMemory{}
 	if a.responseMemory != nil {
-		memory.reserve = func(bytes int64) (*reservation, error) { return a.responseMemory.reserve(ctx, bytes) }
+		memory.reserve = func(bytes int64) (*reservation, error) {
+			ctx, cancel := context.WithDeadline(a.ctx, deadline)
+			defer cancel()
+			return a.responseMemory.reserve(ctx, bytes)
+		}
 	}
 	defer func() {
 		if resp == nil {
