--- a/internal/sidecar/downstream_test.go
+++ b/internal/sidecar/downstream_test.go
@@ -9,6 +9,24 @@
 	"time"
 )
 
+// expectNewClientServed checks that a client on a new connection is served.
+func expectNewClientServed(t *testing.T, s *Sidecar) {
+	t.Helper()
+	c := dial(t, s)
+	c.send("GET", "read", "")
+	if status := c.readStatus(t); status != http.StatusOK {
+		t.Errorf("status %d of a new client", status)
+	}
+}
+
+// occupySlots opens as many connections as there are slots and sends half a request on each.
+func occupySlots(t *testing.T, s *Sidecar) {
+	t.Helper()
+	for range s.front.downstream.maxConns {
+		sendFirstHalf(t, s, dial(t, s))
+	}
+}
+
 // At the connection limit, idle connections must be evicted so that new clients are served.
 func TestIdleClientsAreEvicted(t *testing.T) {
 	cfg := testConfig(t, startServer(t, echo).Addr().String())
@@ -19,11 +37,7 @@
 	for range 2 * s.maxDownstream {
 		dial(t, s)
 	}
-	c := dial(t, s)
-	c.send("GET", "read", "")
-	if res, _ := c.readResponse(t); res.StatusCode != 200 {
-		t.Errorf("status %d", res.StatusCode)
-	}
+	expectNewClientServed(t, s)
 }
 
 // Connections on which requests arrive too slowly must be evicted for a new client.
@@ -31,14 +45,8 @@
 	s, _ := startWithRecordingServer(t, func(s *Sidecar) {
 		s.front.downstream.maxConns, s.front.downstream.slowRequestTime = 2*evictionHeadroom, 0
 	})
-	for range 2 * evictionHeadroom {
-		sendFirstHalf(t, s, dial(t, s))
-	}
-	c := dial(t, s)
-	c.send("GET", "read", "")
-	if res, _ := c.readResponse(t); res.StatusCode != 200 {
-		t.Errorf("status %d", res.StatusCode)
-	}
+	occupySlots(t, s)
+	expectNewClientServed(t, s)
 }
 
 // Guards against requests that are answered a second late behind clients that stop half-way (issue 25, 5): a request that makes no
@@ -48,14 +56,8 @@
 		s.front.downstream.maxConns, s.front.downstream.slowRequestTime, s.front.requestTimeout = 2*evictionHeadroom, time.Hour, time.Hour
 		s.front.downstream.stallTime = time.Millisecond
 	})
-	for range 2 * evictionHeadroom {
-		sendFirstHalf(t, s, dial(t, s))
-	}
-	c := dial(t, s)
-	c.send("GET", "read", "")
-	if res, _ := c.readResponse(t); res.StatusCode != 200 {
-		t.Errorf("status %d", res.StatusCode)
-	}
+	occupySlots(t, s)
+	expectNewClientServed(t, s)
 }
 
 // Guards against new clients that wait behind large requests: while requests that wait for memory hold all slots, one of them must be
@@ -76,11 +78,7 @@
 		defer s.front.downstream.requestMemory.mu.Unlock()
 		return s.front.downstream.requestMemory.waiters.Len() == len(waiting)
 	})
-	c := dial(t, s)
-	c.send("GET", "read", "")
-	if status := c.readStatus(t); status != 200 {
-		t.Errorf("status %d", status)
-	}
+	expectNewClientServed(t, s)
 	if status := waiting[0].readStatus(t); status != statusRefused {
 		t.Errorf("status %d of the request that has waited longest, want a refusal", status)
 	}
