Let the test of requests that wait for memory set their order

TestRequestsThatWaitForMemoryMakeRoom failed beside 12 busy processes: 62 of 600 runs, 13 of 160 on. It sent 16 requests at once and expected the first one sent to be refused. Refused is the connection that began to read first, and on a busy machine the connections are not scheduled in the order of their requests. Each request is now sent once the one before it waits, so the first one is the one that has waited longest; the checks are the same. 160 runs beside the same load pass.

--- a/internal/sidecar/downstream_test.go
+++ b/internal/sidecar/downstream_test.go
@@ -72,12 +72,12 @@
 		waiting[i] = dial(t, s)
 		waiting[i].id = fmt.Sprint(i)
 		waiting[i].send("POST", "pay", strings.Repeat("x", maxBodyBytes))
+		eventually(t, "a request that waits for memory behind those before it", func() bool {
+			s.front.downstream.requestMemory.mu.Lock()
+			defer s.front.downstream.requestMemory.mu.Unlock()
+			return s.front.downstream.requestMemory.waiters.Len() == i+1
+		})
 	}
-	eventually(t, "requests that wait for memory on all connections", func() bool {
-		s.front.downstream.requestMemory.mu.Lock()
-		defer s.front.downstream.requestMemory.mu.Unlock()
-		return s.front.downstream.requestMemory.waiters.Len() == len(waiting)
-	})
 	expectNewClientServed(t, s)
 	if status := waiting[0].readStatus(t); status != statusRefused {
 		t.Errorf("status %d of the request that has waited longest, want a refusal", status)
