Read the body of each request in one place, whatever the request asks for

The readiness check had a branch of its own that read its body, so another request that the sidecar answers itself could have left its body out again. Behaviour is unchanged.

--- a/internal/sidecar/front.go
+++ b/internal/sidecar/front.go
@@ -86,22 +86,24 @@
 	if m.length == lengthUnspecified { // a request without a length has no body
 		m.length = 0
 	}
-	if m.startLine == readinessCheck {
-		if _, err := readRequestBody(c, &m, memory, expectsContinue(&m)); err != nil {
-			return false, f.rejectUnreadable(c, err)
-		}
-		return f.respond(c, &m, &response{status: f.readyStatus(), noAttempt: true})
-	}
 	clientWaits := expectsContinue(&m) // before the headers of the connection are removed
-	request, problem := f.parse(m)
-	if problem != nil {
-		f.events.count(eventReject, reasonRejected, m.header.Get("X-Request-Id"))
-		c.reject(problem.status, problem.reason)
-		return false, reasonRejected
+	var request *call                  // nil for a readiness check
+	if m.startLine != readinessCheck {
+		var problem *requestError
+		if request, problem = f.parse(m); problem != nil {
+			f.events.count(eventReject, reasonRejected, m.header.Get("X-Request-Id"))
+			c.reject(problem.status, problem.reason)
+			return false, reasonRejected
+		}
 	}
-	if request.outgoing.body, err = readRequestBody(c, &m, memory, clientWaits); err != nil {
+	body, err := readRequestBody(c, &m, memory, clientWaits)
+	if err != nil {
 		return false, f.rejectUnreadable(c, err)
 	}
+	if request == nil {
+		return f.respond(c, &m, &response{status: f.readyStatus(), noAttempt: true})
+	}
+	request.outgoing.body = body
 	r, reason := f.awaitResponse(c, request)
 	if reason != "" {
 		return false, reason
