Schedule no polls where lists are pushed, and choose the cause of a cancel once

A pushed list made schedulePoll compute slots that nothing used, and a call was cancelled in two branches that differed in the cause.

--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -26,7 +26,7 @@
 	policy     listwatch.Policy
 	maxObject  int                                             // bytes; see maxListBytes
 	onList     func(List)                                      // receives each list or list change
-	onFailed   func(silence time.Duration)                     // called when the latest call failed or is overdue, or its watch broke, after a silence
+	onFailed   func(silence time.Duration)                     // called when the latest call failed or is overdue, or its watch broke; see listwatch.Action
 	onAnswered func()                                          // called when a call is answered, even without a list; may be nil
 	dial       func(context.Context, string) (net.Conn, error) // nil = dial TCP
 	random     func() float64                                  // returns numbers in [0, 1); nil = rand.Float64
@@ -114,10 +114,12 @@
 			d.calls[a.Call] = d.lastCall
 			go d.runCall(ctx, d.lastCall, d.addr, d.rev)
 		case listwatch.ActCancelCall:
-			if c := d.calls[a.Call]; c != nil && a.Silence > 0 {
-				c.cancel(&SilentWatchError{a.Silence})
-			} else if c != nil {
-				c.cancel(nil)
+			var cause error
+			if a.Silence > 0 {
+				cause = &SilentWatchError{a.Silence}
+			}
+			if c := d.calls[a.Call]; c != nil {
+				c.cancel(cause)
 			}
 		case listwatch.ActReportFailure:
 			d.onFailed(a.Silence)
--- a/poll.go
+++ b/poll.go
@@ -22,10 +22,12 @@
 	fastRoundsEnd float64 // end of the fast rounds that have begun when the list was lost
 }
 
-// schedulePoll schedules the next poll after an event of discovery.
+// schedulePoll schedules the next poll after an event of discovery, if the list is polled.
 func (b *Balancer) schedulePoll(ev *Event) {
 	p := &b.polls
 	switch {
+	case !b.cfg.PollList:
+		return
 	case ev.List == ListMoved:
 		b.beginFastRounds(movedNotifyTime)
 	case ev.List != ListFailed:
@@ -39,7 +41,7 @@
 	if slot := b.nextPollSlot(p.lastAt, pollRound); at > p.fastRoundsEnd && slot > b.now {
 		at = slot
 	}
-	if b.cfg.PollList && (p.nextAt == 0 || at < p.nextAt) {
+	if p.nextAt == 0 || at < p.nextAt {
 		p.nextAt = at
 	}
 }
